--- /dev/null
+++ b/internal/fake/fleet/sockets.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"net"
+	"sync"
+)
+
+// sockets are the listeners and accepted connections of one node, so that a
+// killed node's can be cut together.
+type sockets struct {
+	mutex sync.Mutex
+	open  map[interface{ Close() error }]struct{}
+	isCut bool
+}
+
+type (
+	listener struct {
+		net.Listener
+		sockets *sockets
+	}
+
+	conn struct {
+		net.Conn
+		sockets *sockets
+	}
+)
+
+func (s *sockets) wrap(l net.Listener) net.Listener {
+	s.add(l)
+	return &listener{Listener: l, sockets: s}
+}
+
+func (s *sockets) add(c interface{ Close() error }) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.isCut {
+		_ = c.Close()
+		return
+	}
+	if s.open == nil {
+		s.open = map[interface{ Close() error }]struct{}{}
+	}
+	s.open[c] = struct{}{}
+}
+
+func (s *sockets) cut() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.isCut = true
+	for c := range s.open {
+		if wrapped, ok := c.(*conn); ok {
+			c = wrapped.Conn
+		}
+		_ = c.Close()
+	}
+}
+
+// Accept returns a connection that is cut with the others.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, sockets: l.sockets}
+	l.sockets.add(c)
+	return c, nil
+}
+
+// Close closes the connection and forgets it.
+func (c *conn) Close() error {
+	c.sockets.mutex.Lock()
+	delete(c.sockets.open, c)
+	c.sockets.mutex.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/peer/wire/header.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+)
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// FromHeader returns the headers that go on to the next hop, in the order of
+// their names.
+func FromHeader(h http.Header) []*Header {
+	skip := connectionHeaders(h)
+	names := make([]string, 0, len(h))
+	count := 0
+	for name, values := range h {
+		if slices.Contains(hopByHop, name) || slices.Contains(skip, name) {
+			continue
+		}
+		names = append(names, name)
+		count += len(values)
+	}
+	slices.Sort(names)
+	fields := make([]Header, 0, count)
+	list := make([]*Header, 0, count)
+	for _, name := range names {
+		for _, value := range h[name] {
+			fields = append(fields, Header{Name: name, Value: value})
+			list = append(list, &fields[len(fields)-1])
+		}
+	}
+	return list
+}
+
+// ToHeader returns headers as net/http has them.
+func ToHeader(list []*Header) http.Header {
+	h := make(http.Header, len(list))
+	for _, field := range list {
+		h[field.Name] = append(h[field.Name], field.Value)
+	}
+	return h
+}
+
+// connectionHeaders returns the names that the Connection header lists.
+func connectionHeaders(h http.Header) []string {
+	var names []string
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			names = append(names, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/policy/desk/desk.go
@@ -0,0 +1,371 @@
+package desk
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/fence"
+	"github.com/figwick/figwick/internal/policy/floor"
+	"github.com/figwick/figwick/internal/policy/health"
+	"github.com/figwick/figwick/internal/policy/queue"
+	"github.com/figwick/figwick/internal/state/config"
+	"github.com/figwick/figwick/internal/state/roster"
+)
+
+// The kinds of decision on an attempt.
+const (
+	Granted Kind = iota + 1
+	Waiting
+	Refused
+)
+
+// The reasons for a refusal.
+const (
+	Busy Reason = iota + 1
+	Late
+	Fenced
+	Duplicate
+	NoBackend
+	Leaving
+)
+
+type (
+	// Kind is what happens to an attempt that comes.
+	Kind int
+
+	// Reason tells why an attempt is refused.
+	Reason int
+
+	// Attempt is one attempt that comes.
+	Attempt struct {
+		ID         ident.Attempt
+		Service    ident.Service
+		Repeatable bool
+		LastResort bool
+		// StartBefore is the last moment at which it may start.
+		StartBefore time.Time
+		// Deadline is when its answer is of no more use.
+		Deadline time.Time
+	}
+
+	// Decision is the answer to an attempt that comes.
+	Decision struct {
+		Kind   Kind
+		Reason Reason
+		Server roster.Announcement
+	}
+
+	// Grant starts an attempt that waited.
+	Grant struct {
+		Attempt ident.Attempt
+		Server  roster.Announcement
+	}
+
+	// Refusal ends the waiting of an attempt that will not start.
+	Refusal struct {
+		Attempt ident.Attempt
+		Reason  Reason
+	}
+
+	// Verdict is a change of a backend server's standing.
+	Verdict struct {
+		Service ident.Service
+		Op      health.Op
+		// Removed tells that an ejection had a token; without one the server is
+		// put last.
+		Removed bool
+	}
+
+	// Ops is what follows from one event.
+	Ops struct {
+		Grants   []Grant
+		Refusals []Refusal
+		Verdicts []Verdict
+	}
+
+	// Others is what a sidecar knows of a service behind the other sidecars.
+	Others struct {
+		Alive     int
+		InService int
+	}
+
+	// Desk is one sidecar's decision state. It is not safe for concurrent use.
+	Desk struct {
+		node     ident.Node
+		instance ident.Instance
+		table    *config.Table
+		roster   roster.Roster
+		fences   fence.Table
+		services map[ident.Service]*service
+		held     map[ident.Attempt]*held
+		leaving  bool
+	}
+
+	service struct {
+		name    ident.Service
+		line    queue.Line
+		tracker *health.Tracker
+		holder  floor.Holder
+		others  Others
+		floor   int
+		servers map[ident.Backend]*standing
+	}
+
+	standing struct {
+		roster.Announcement
+		allowed   bool
+		removed   bool
+		coldSince time.Time
+		coldUntil time.Time
+	}
+
+	// held is an attempt that waits or holds a slot.
+	held struct {
+		Attempt
+		server ident.Backend
+		// standing is the server as it was granted: a restarted one is another.
+		standing *standing
+	}
+)
+
+// New returns an empty Desk for one run of a node.
+func New(node ident.Node, instance ident.Instance) *Desk {
+	return &Desk{
+		node:     node,
+		instance: instance,
+		services: map[ident.Service]*service{},
+		held:     map[ident.Attempt]*held{},
+	}
+}
+
+// Admit decides on an attempt that comes.
+func (d *Desk) Admit(t turn.Turn, a Attempt) Decision {
+	if d.leaving {
+		return refuse(Leaving)
+	}
+	if !t.Now.Before(a.StartBefore) {
+		return refuse(Late)
+	}
+	s, found := d.services[a.Service]
+	if !found {
+		return refuse(NoBackend)
+	}
+	if !a.Repeatable {
+		if reason := d.admitOnce(t, a); reason != 0 {
+			return refuse(reason)
+		}
+	}
+	decision, grant := s.line.Enter(t, queue.Entry{
+		Attempt:    a.ID,
+		Repeatable: a.Repeatable,
+		LastResort: a.LastResort,
+		Deadline:   a.Deadline,
+	})
+	switch decision {
+	case queue.Granted:
+		d.held[a.ID] = &held{Attempt: a}
+		d.begin(t, s, grant)
+		return Decision{Kind: Granted, Server: s.servers[grant.Server].Announcement}
+	case queue.Waiting:
+		d.held[a.ID] = &held{Attempt: a}
+		return Decision{Kind: Waiting}
+	case queue.Absent:
+		d.fences.Withdraw(a.ID)
+		return refuse(NoBackend)
+	default:
+		d.fences.Withdraw(a.ID)
+		return refuse(Busy)
+	}
+}
+
+// Finish takes the result of an attempt that was granted a slot. The answer is
+// kept for a lost reply where it is not nil.
+func (d *Desk) Finish(t turn.Turn, id ident.Attempt, r health.Result, answer *fence.Answer) Ops {
+	h, found := d.held[id]
+	if !found || h.server == "" {
+		return Ops{}
+	}
+	delete(d.held, id)
+	if !h.Repeatable {
+		d.fences.Finish(t.Now, id, answer)
+	}
+	s := d.services[h.Service]
+	var ops Ops
+	if s.servers[h.server] != h.standing {
+		return ops
+	}
+	d.follow(t, s, s.tracker.Finish(t, h.server, id, r), &ops)
+	took := r.Took
+	if r.Outcome == health.Dropped {
+		took = 0
+	}
+	d.outcome(t, s, s.line.Leave(t, h.server, took), &ops)
+	return ops
+}
+
+// Headed notes that the head of an attempt's answer has come.
+func (d *Desk) Headed(id ident.Attempt) {
+	h, found := d.held[id]
+	if found && h.server != "" {
+		d.services[h.Service].tracker.Headed(h.server, id)
+	}
+}
+
+// Unstarted takes back a grant of which no byte reached the backend server:
+// the attempt was not run.
+func (d *Desk) Unstarted(t turn.Turn, id ident.Attempt, took time.Duration) Ops {
+	d.fences.Unstart(id)
+	return d.Finish(t, id, health.Result{Outcome: health.Failed, Took: took}, nil)
+}
+
+// Shed takes back a grant whose backend server refused the request for load and
+// vouches that it did not run it.
+func (d *Desk) Shed(t turn.Turn, id ident.Attempt) Ops {
+	d.fences.Unstart(id)
+	return d.Finish(t, id, health.Result{Outcome: health.Shed}, nil)
+}
+
+// Cancel ends the waiting of an attempt whose caller has gone. One that holds a
+// slot goes on until Finish.
+func (d *Desk) Cancel(id ident.Attempt) {
+	h, found := d.held[id]
+	if !found || h.server != "" {
+		return
+	}
+	delete(d.held, id)
+	d.services[h.Service].line.Cancel(id)
+	d.fences.Withdraw(id)
+}
+
+// Fence tells the fate of an attempt; one that has not started never will.
+func (d *Desk) Fence(t turn.Turn, id ident.Attempt, startBefore time.Time) (fence.Fate, *fence.Answer, Ops) {
+	fate, answer := d.fences.Fence(t.Now, id, startBefore)
+	h, found := d.held[id]
+	if fate != fence.NotStarted || !found || h.server != "" {
+		return fate, answer, Ops{}
+	}
+	delete(d.held, id)
+	d.services[h.Service].line.Cancel(id)
+	return fate, answer, Ops{Refusals: []Refusal{{Attempt: id, Reason: Fenced}}}
+}
+
+// Release drops the kept answer of an attempt that its ingress has.
+func (d *Desk) Release(id ident.Attempt) {
+	d.fences.Release(id)
+}
+
+// Drain refuses all new attempts from now on. What waits or runs goes on.
+func (d *Desk) Drain() {
+	d.leaving = true
+}
+
+// Idle reports whether nothing waits or runs.
+func (d *Desk) Idle() bool {
+	return len(d.held) == 0
+}
+
+// Held returns how many attempts wait or run.
+func (d *Desk) Held() int {
+	return len(d.held)
+}
+
+// Tick moves time on: leases, holds, ages, waiting attempts.
+func (d *Desk) Tick(t turn.Turn) Ops {
+	var ops Ops
+	for _, change := range d.roster.Tick(t.Now) {
+		d.change(t, change, &ops)
+	}
+	for _, name := range d.names() {
+		s := d.services[name]
+		d.follow(t, s, s.tracker.Tick(t), &ops)
+		d.cover(t, s, &ops)
+		d.outcome(t, s, s.line.Tick(t), &ops)
+	}
+	return ops
+}
+
+// Expire forgets old fences. It is dear, so it has a slower beat than Tick.
+func (d *Desk) Expire(t turn.Turn) {
+	d.fences.Expire(t.Now)
+}
+
+// Load sums up the slots of a service.
+func (d *Desk) Load(t turn.Turn, name ident.Service) queue.Load {
+	s, found := d.services[name]
+	if !found {
+		return queue.Load{}
+	}
+	return s.line.Load(t)
+}
+
+// Hear takes the level of a service behind other sidecars.
+func (d *Desk) Hear(name ident.Service, level health.Level) {
+	if s, found := d.services[name]; found {
+		s.tracker.Remote(level)
+	}
+}
+
+func (d *Desk) admitOnce(t turn.Turn, a Attempt) Reason {
+	switch d.fences.Admit(t.Now, a.ID, a.StartBefore) {
+	case fence.Admitted:
+		return 0
+	case fence.Fenced:
+		return Fenced
+	case fence.Duplicate:
+		return Duplicate
+	default:
+		return Late
+	}
+}
+
+// begin gives a slot to an attempt and starts it.
+func (d *Desk) begin(t turn.Turn, s *service, g queue.Grant) {
+	h := d.held[g.Attempt]
+	if !h.Repeatable {
+		d.fences.Start(t.Now, g.Attempt)
+	}
+	h.server = g.Server
+	h.standing = s.servers[g.Server]
+	s.tracker.Begin(t, g.Server, g.Attempt)
+}
+
+// outcome turns what a line did into operations. An attempt that may no longer
+// start gives its slot back, which may serve the next.
+func (d *Desk) outcome(t turn.Turn, s *service, out queue.Outcome, ops *Ops) {
+	for _, id := range out.Refused {
+		delete(d.held, id)
+		d.fences.Withdraw(id)
+		ops.Refusals = append(ops.Refusals, Refusal{Attempt: id, Reason: Busy})
+	}
+	for _, g := range out.Grants {
+		if !d.mayStart(t, g.Attempt) {
+			delete(d.held, g.Attempt)
+			d.fences.Withdraw(g.Attempt)
+			ops.Refusals = append(ops.Refusals, Refusal{Attempt: g.Attempt, Reason: Late})
+			d.outcome(t, s, s.line.Leave(t, g.Server, 0), ops)
+			continue
+		}
+		d.begin(t, s, g)
+		ops.Grants = append(ops.Grants, Grant{Attempt: g.Attempt, Server: s.servers[g.Server].Announcement})
+	}
+}
+
+func (d *Desk) mayStart(t turn.Turn, id ident.Attempt) bool {
+	return t.Now.Before(d.held[id].StartBefore)
+}
+
+func (d *Desk) names() []ident.Service {
+	names := make([]ident.Service, 0, len(d.services))
+	for name := range d.services {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, cmp.Compare[ident.Service])
+	return names
+}
+
+func refuse(r Reason) Decision {
+	return Decision{Kind: Refused, Reason: r}
+}
--- /dev/null
+++ b/internal/policy/desk/servers.go
@@ -0,0 +1,306 @@
+package desk
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/floor"
+	"github.com/figwick/figwick/internal/policy/health"
+	"github.com/figwick/figwick/internal/policy/queue"
+	"github.com/figwick/figwick/internal/state/config"
+	"github.com/figwick/figwick/internal/state/roster"
+)
+
+// Configure takes a new revision: what it allows, its slots and trades.
+func (d *Desk) Configure(t turn.Turn, table *config.Table) Ops {
+	d.table = table
+	var ops Ops
+	for _, name := range d.names() {
+		s := d.services[name]
+		s.configure(table.Service(name))
+		for _, id := range s.ids() {
+			d.place(t, s, s.servers[id], &ops)
+		}
+	}
+	return ops
+}
+
+// Announce takes a backend server's announcement.
+func (d *Desk) Announce(t turn.Turn, a roster.Announcement) (Ops, error) {
+	change, err := d.roster.Announce(t.Now, a)
+	if err != nil {
+		return Ops{}, err
+	}
+	var ops Ops
+	d.change(t, change, &ops)
+	return ops, nil
+}
+
+// Leave forgets a backend server that says it has gone.
+func (d *Desk) Leave(t turn.Turn, id ident.Backend, incarnation ident.Incarnation) (Ops, bool) {
+	var ops Ops
+	change, known := d.roster.Leave(id, incarnation)
+	if known {
+		d.change(t, change, &ops)
+	}
+	return ops, known
+}
+
+// Moved forgets a backend server that another node has with a higher
+// incarnation.
+func (d *Desk) Moved(t turn.Turn, id ident.Backend, incarnation ident.Incarnation) (Ops, bool) {
+	var ops Ops
+	change, known := d.roster.Moved(id, incarnation)
+	if known {
+		d.change(t, change, &ops)
+	}
+	return ops, known
+}
+
+// Servers returns the announced backend servers.
+func (d *Desk) Servers() []roster.Announcement {
+	return d.roster.Servers()
+}
+
+// Knows reports whether an incarnation of a backend server is announced.
+func (d *Desk) Knows(id ident.Backend, incarnation ident.Incarnation) bool {
+	s := d.serviceOf(id)
+	return s != nil && s.servers[id].Incarnation == incarnation
+}
+
+// Allowed reports whether the file in force lets an announced server serve.
+func (d *Desk) Allowed(id ident.Backend) bool {
+	s := d.serviceOf(id)
+	return s != nil && s.servers[id].allowed
+}
+
+// SetOthers tells what a service has behind other sidecars.
+func (d *Desk) SetOthers(name ident.Service, o Others) {
+	if s, found := d.services[name]; found {
+		s.others = o
+	}
+}
+
+func (d *Desk) change(t turn.Turn, c roster.Change, ops *Ops) {
+	a := c.Server
+	if old := d.serviceOf(a.ID); old != nil && (c.Gone || old.name != a.Service) {
+		d.drop(old, a.ID)
+	}
+	if c.Gone {
+		return
+	}
+	s := d.service(a.Service)
+	known, found := s.servers[a.ID]
+	if !found || c.New {
+		known = &standing{coldSince: t.Now}
+		known.coldUntil = t.Now.Add(d.coldStart(a.Service))
+		s.line.Remove(a.ID)
+		s.holder.Refund(a.ID)
+		s.tracker.Drop(a.ID)
+		s.tracker.Add(t, a.ID)
+	}
+	known.Announcement = a
+	s.servers[a.ID] = known
+	s.holder.Backends(s.counted())
+	d.place(t, s, known, ops)
+}
+
+// drop forgets a server. Attempts that run on it go on until Finish.
+func (d *Desk) drop(s *service, id ident.Backend) {
+	delete(s.servers, id)
+	s.line.Remove(id)
+	s.tracker.Drop(id)
+	s.holder.Refund(id)
+	s.holder.Backends(s.counted())
+}
+
+func (d *Desk) serviceOf(id ident.Backend) *service {
+	for _, s := range d.services {
+		if _, found := s.servers[id]; found {
+			return s
+		}
+	}
+	return nil
+}
+
+func (d *Desk) service(name ident.Service) *service {
+	s, found := d.services[name]
+	if found {
+		return s
+	}
+	s = &service{
+		name:    name,
+		tracker: health.New(health.Config{}),
+		holder:  floor.Holder{Node: d.node, Instance: d.instance},
+		servers: map[ident.Backend]*standing{},
+	}
+	s.configure(d.table.Service(name))
+	d.services[name] = s
+	return s
+}
+
+func (d *Desk) coldStart(name ident.Service) time.Duration {
+	if e := d.table.Service(name); e != nil {
+		return e.Ejection.ColdStart
+	}
+	return config.DefaultColdStart
+}
+
+// place brings the line in step with where a server stands.
+func (d *Desk) place(t turn.Turn, s *service, v *standing, ops *Ops) {
+	v.allowed = d.allows(s.name, v.Announcement)
+	slots := v.Slots
+	if e := d.table.Service(s.name); e != nil {
+		slots = min(slots, e.Slots)
+	}
+	out := s.line.Set(t, queue.Server{
+		ID:        v.ID,
+		Slots:     slots,
+		Grade:     s.grade(v),
+		ColdSince: v.coldSince,
+		ColdUntil: v.coldUntil,
+	})
+	d.outcome(t, s, out, ops)
+}
+
+func (d *Desk) allows(name ident.Service, a roster.Announcement) bool {
+	e := d.table.Service(name)
+	if e == nil {
+		return false
+	}
+	address, err := netip.ParseAddrPort(a.Address)
+	return err == nil && e.Allows(a.ID, address.Addr())
+}
+
+// follow carries out what a tracker asks for.
+func (d *Desk) follow(t turn.Turn, s *service, asked []health.Op, ops *Ops) {
+	for _, op := range asked {
+		v, found := s.servers[op.Server]
+		if !found {
+			continue
+		}
+		switch op.Action {
+		case health.Eject:
+			v.removed = s.holder.Spend(t.Now, v.ID, s.view())
+		case health.Return:
+			v.removed = false
+			s.holder.Refund(v.ID)
+			v.coldSince = t.Now
+			v.coldUntil = t.Now.Add(d.coldStart(s.name))
+		}
+		ops.Verdicts = append(ops.Verdicts, Verdict{Service: s.name, Op: op, Removed: v.removed})
+		d.place(t, s, v, ops)
+	}
+}
+
+// cover ends ejections that have lost their token, and ejects the sick servers
+// that had none where there is one now.
+func (d *Desk) cover(t turn.Turn, s *service, ops *Ops) {
+	for _, id := range s.holder.Void(t.Now) {
+		if v, found := s.servers[id]; found {
+			v.removed = false
+			d.place(t, s, v, ops)
+		}
+	}
+	need := 0
+	for _, id := range s.ids() {
+		v := s.servers[id]
+		state, _ := s.tracker.State(id)
+		if state == health.InService || v.removed {
+			continue
+		}
+		if !s.holder.Spend(t.Now, id, s.view()) {
+			need++
+			continue
+		}
+		v.removed = true
+		d.place(t, s, v, ops)
+	}
+	s.holder.Need(need)
+}
+
+func (s *service) configure(e *config.Entry) {
+	length, floorAt := config.DefaultQueueLength, 1
+	trade := health.Config{
+		Threshold: health.PrecisionThreshold,
+		Hold:      config.DefaultHold,
+		MaxHold:   config.DefaultMaxHold,
+	}
+	if e != nil {
+		length = e.Queue.Length
+		floorAt = e.Floor
+		trade.Hold = e.Ejection.Hold
+		trade.MaxHold = e.Ejection.MaxHold
+		if e.Ejection.Prefer == config.PreferDetection {
+			trade.Threshold = health.DetectionThreshold
+		}
+	}
+	s.line.Length = length
+	s.floor = floorAt
+	s.tracker.Configure(trade)
+}
+
+func (s *service) grade(v *standing) queue.Grade {
+	if !v.allowed || v.State != roster.Serving {
+		return queue.Closed
+	}
+	state, _ := s.tracker.State(v.ID)
+	switch {
+	case state == health.InService:
+		return queue.Preferred
+	case state == health.OnTrial:
+		return queue.Trial
+	case v.removed:
+		return queue.Closed
+	default:
+		return queue.Last
+	}
+}
+
+// view joins what stands here with what is known of the others.
+func (s *service) view() floor.View {
+	alive, inService := s.own()
+	return floor.View{
+		Alive:     alive + s.others.Alive,
+		InService: inService + s.others.InService,
+		Floor:     s.floor,
+	}
+}
+
+// own counts the servers here that live, and those of them that take work.
+func (s *service) own() (alive, inService int) {
+	for _, v := range s.servers {
+		if !v.allowed || v.State != roster.Serving {
+			continue
+		}
+		alive++
+		if !v.removed {
+			inService++
+		}
+	}
+	return alive, inService
+}
+
+// counted returns the servers that count for the budget.
+func (s *service) counted() []ident.Backend {
+	var ids []ident.Backend
+	for id, v := range s.servers {
+		if v.State == roster.Serving {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (s *service) ids() []ident.Backend {
+	ids := make([]ident.Backend, 0, len(s.servers))
+	for id := range s.servers {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, cmp.Compare[ident.Backend])
+	return ids
+}
--- /dev/null
+++ b/internal/policy/health/tracker.go
@@ -0,0 +1,466 @@
+package health
+
+import (
+	"slices"
+	"time"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+)
+
+// The outcomes of a request at a backend server.
+const (
+	// OK is a whole answer that is not a server error.
+	OK Outcome = iota
+	// Failed is a server error, a lost connection or an answer cut short.
+	Failed
+	// Hung is no answer by the deadline.
+	Hung
+	// Shed is an orderly refusal for load; it says nothing of sickness.
+	Shed
+	// Dropped is a request given up by its caller.
+	Dropped
+)
+
+// The states of a server.
+const (
+	// InService servers are not suspected.
+	InService State = iota
+	// Ejected servers rest.
+	Ejected
+	// OnTrial servers get a trickle of requests.
+	OnTrial
+)
+
+// The operations a Tracker asks for.
+const (
+	// Eject takes a server out of service.
+	Eject Action = iota + 1
+	// Try lets a trickle of repeatable requests through.
+	Try
+	// Return puts a server back into service.
+	Return
+)
+
+// The reasons for an ejection.
+const (
+	// ForFailures is too many failures.
+	ForFailures Reason = "failures"
+	// ForLatency is answers too slow.
+	ForLatency Reason = "latency"
+	// ForHanging is requests in flight for too long.
+	ForHanging Reason = "hanging"
+	// ForTrial is a bad answer while on trial.
+	ForTrial Reason = "trial"
+)
+
+const (
+	// DetectionThreshold is the sum at which a service that prefers detection
+	// raises an alarm.
+	DetectionThreshold = 12.0
+	// PrecisionThreshold is the same for a service that prefers precision.
+	PrecisionThreshold = 20.0
+	// TrialAnswers is how many good answers in a row end a trial.
+	TrialAnswers = 12
+	// forgiveFactor is how many holds a server must be well to lose a strike.
+	forgiveFactor = 6
+	// pullSamples is the weight of the running level against what others did
+	// during an alarm.
+	pullSamples = 3.0
+	// hungEvidence is the age evidence from which a request without an answer
+	// counts as a failure, whoever gave it up.
+	hungEvidence = 3.0
+	// mostStrikes bounds the doubling of the hold.
+	mostStrikes = 16
+)
+
+type (
+	// Outcome is how a request ended.
+	Outcome int
+
+	// State is where a server stands.
+	State int
+
+	// Action is what an Op asks for.
+	Action int
+
+	// Reason tells why a server is ejected.
+	Reason string
+
+	// Result is one finished request. Took is the time to the head of its
+	// answer, or to its end where there was none.
+	Result struct {
+		Outcome Outcome
+		Took    time.Duration
+	}
+
+	// Op is one change a Tracker asks for.
+	Op struct {
+		Action Action
+		Server ident.Backend
+		Reason Reason
+		// Onset is when the evidence began.
+		Onset time.Time
+	}
+
+	// Config sets a Tracker's trade.
+	Config struct {
+		Threshold float64
+		Hold      time.Duration
+		MaxHold   time.Duration
+	}
+
+	// Tracker judges the servers of one service. It is not safe for concurrent
+	// use.
+	Tracker struct {
+		config  Config
+		servers []*server
+		remote  Level
+	}
+)
+
+// New returns a Tracker without servers.
+func New(config Config) *Tracker {
+	return &Tracker{config: config}
+}
+
+// Configure changes the trade; what was learned stays.
+func (k *Tracker) Configure(config Config) {
+	k.config = config
+}
+
+// Add puts a server under judgement. One that is known stays as it is.
+func (k *Tracker) Add(t turn.Turn, id ident.Backend) {
+	if k.find(id) == nil {
+		k.servers = append(k.servers, newServer(id, t.Now))
+	}
+}
+
+// Drop forgets a server.
+func (k *Tracker) Drop(id ident.Backend) {
+	k.servers = slices.DeleteFunc(k.servers, func(s *server) bool { return s.id == id })
+}
+
+// Remote tells how the service does behind other sidecars.
+func (k *Tracker) Remote(level Level) {
+	k.remote = level
+}
+
+// Begin notes that a request goes to a server.
+func (k *Tracker) Begin(t turn.Turn, id ident.Backend, attempt ident.Attempt) {
+	if s := k.find(id); s != nil {
+		s.begun[attempt] = t.Now
+	}
+}
+
+// Headed notes that the head of an answer has come: from there on the request's
+// age is no evidence, since its caller may be slow to read.
+func (k *Tracker) Headed(id ident.Backend, attempt ident.Attempt) {
+	if s := k.find(id); s != nil {
+		delete(s.begun, attempt)
+	}
+}
+
+// Finish takes the result of a request.
+func (k *Tracker) Finish(t turn.Turn, id ident.Backend, attempt ident.Attempt, r Result) []Op {
+	s := k.find(id)
+	if s == nil {
+		return nil
+	}
+	_, headless := s.begun[attempt]
+	delete(s.begun, attempt)
+	level := k.level(s)
+	if !counts(level, r, headless) {
+		return nil
+	}
+	p := sample{at: t.Now, failed: r.Outcome != OK, log: logOf(r.Took)}
+	first := s.count == 0
+	s.keep(p)
+	if first && level.Weight == 0 {
+		return nil
+	}
+	if s.state != InService {
+		return k.judgeTrial(t, s, level, p)
+	}
+	s.add(level, p)
+	return k.judge(t, s, level)
+}
+
+// counts tells whether a result is evidence. A request that was given up is
+// evidence only where its age is.
+func counts(level Level, r Result, headless bool) bool {
+	switch r.Outcome {
+	case OK, Failed:
+		return true
+	case Hung, Dropped:
+		return headless && level.Weight > 0 && ageRatio(level, r.Took) >= hungEvidence
+	default:
+		return false
+	}
+}
+
+// Tick looks at the requests in flight and ends holds.
+func (k *Tracker) Tick(t turn.Turn) []Op {
+	var ops []Op
+	for _, s := range k.servers {
+		switch s.state {
+		case InService:
+			k.forgive(t, s)
+			ops = append(ops, k.judge(t, s, k.level(s))...)
+		case Ejected:
+			if !t.Now.Before(s.holdEnd) {
+				s.state = OnTrial
+				s.goodRun = 0
+				ops = append(ops, Op{Action: Try, Server: s.id})
+			}
+		case OnTrial:
+			ops = append(ops, k.judgeTrialAge(t, s)...)
+		}
+	}
+	return ops
+}
+
+// State returns where a server stands and how strongly it is suspected, from 0
+// to 1.
+func (k *Tracker) State(id ident.Backend) (State, float64) {
+	s := k.find(id)
+	if s == nil {
+		return InService, 0
+	}
+	return s.state, clamp(max(s.failureSum, s.latencySum)/k.config.Threshold, 0, 1)
+}
+
+// Counts returns how many servers are in service, and how many are not.
+func (k *Tracker) Counts() (inService, out int) {
+	for _, s := range k.servers {
+		if s.state == InService {
+			inService++
+		} else {
+			out++
+		}
+	}
+	return inService, out
+}
+
+// Summary returns the level of all servers in service, to be told to others.
+func (k *Tracker) Summary() Level {
+	return k.local(nil)
+}
+
+func (k *Tracker) find(id ident.Backend) *server {
+	for _, s := range k.servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// level is how the others do: the median over the servers in service here and
+// what is known of those elsewhere.
+func (k *Tracker) level(except *server) Level {
+	local := k.local(except)
+	if k.remote.Weight <= 0 {
+		if local.Weight == 0 {
+			return own(except)
+		}
+		return local
+	}
+	return blend(local, k.remote)
+}
+
+func (k *Tracker) local(except *server) Level {
+	var means, spreads, failures []float64
+	for _, s := range k.servers {
+		if s == except || s.state != InService || s.count < trustedSamples {
+			continue
+		}
+		means = append(means, s.mean)
+		spreads = append(spreads, s.spread())
+		failures = append(failures, s.failure)
+	}
+	return Level{
+		Mean:    median(means),
+		Spread:  median(spreads),
+		Failure: median(failures),
+		Weight:  float64(len(means)),
+	}
+}
+
+// own is a server's own past, where nothing else is known.
+func own(s *server) Level {
+	if s == nil || s.count < trustedSamples {
+		return Level{}
+	}
+	return Level{Mean: s.mean, Spread: s.spread(), Failure: s.failure, Weight: 1}
+}
+
+func blend(a, b Level) Level {
+	total := a.Weight + b.Weight
+	share := b.Weight / total
+	return Level{
+		Mean:    a.Mean + share*(b.Mean-a.Mean),
+		Spread:  a.Spread + share*(b.Spread-a.Spread),
+		Failure: a.Failure + share*(b.Failure-a.Failure),
+		Weight:  total,
+	}
+}
+
+// judge raises an alarm where a sum has passed the threshold, and ejects where
+// the others did better over the same time.
+func (k *Tracker) judge(t turn.Turn, s *server, level Level) []Op {
+	if level.Weight == 0 {
+		return nil
+	}
+	ages := s.ageSum(level, t.Now)
+	switch {
+	case s.failureSum >= k.config.Threshold:
+		if k.confirmFailures(s, level) {
+			return k.eject(t, s, ForFailures, s.failureOnset)
+		}
+	case s.latencySum >= k.config.Threshold:
+		if k.confirmLatency(t, s, level) {
+			return k.eject(t, s, ForLatency, s.latencyOnset)
+		}
+	case ages >= k.config.Threshold:
+		if k.confirmAges(t, s, level) {
+			return k.eject(t, s, ForHanging, s.oldest(t.Now))
+		}
+	}
+	return nil
+}
+
+// confirmFailures scores the failures since the onset against those of the
+// others in that time. A sum that does not hold is set back to what does.
+func (k *Tracker) confirmFailures(s *server, level Level) bool {
+	failures := pullSamples * level.Failure
+	total := pullSamples
+	k.others(s, func(o *server) {
+		o.each(s.failureOnset, func(p sample) {
+			total++
+			if p.failed {
+				failures++
+			}
+		})
+	})
+	level.Failure = failures / total
+	sum := 0.0
+	s.each(s.failureOnset, func(p sample) {
+		sum = max(0, sum+failureRatio(level, p.failed))
+	})
+	s.failureSum = min(s.failureSum, sum)
+	return s.failureSum >= k.config.Threshold
+}
+
+// confirmLatency does the same for latencies.
+func (k *Tracker) confirmLatency(t turn.Turn, s *server, level Level) bool {
+	level = k.levelSince(t, s, level, s.latencyOnset)
+	sum := 0.0
+	s.each(s.latencyOnset, func(p sample) {
+		if !p.failed {
+			sum = max(0, sum+latencyRatio(level, p.log))
+		}
+	})
+	s.latencySum = min(s.latencySum, sum)
+	return s.latencySum >= k.config.Threshold
+}
+
+// confirmAges does the same for requests in flight.
+func (k *Tracker) confirmAges(t turn.Turn, s *server, level Level) bool {
+	level = k.levelSince(t, s, level, s.oldest(t.Now))
+	return s.ageSum(level, t.Now) >= k.config.Threshold
+}
+
+// levelSince moves a level to what the other servers did since a moment. Their
+// requests in flight count with the age they have reached, where that is above
+// the level already.
+func (k *Tracker) levelSince(t turn.Turn, s *server, level Level, since time.Time) Level {
+	sum := pullSamples * level.Mean
+	total := pullSamples
+	k.others(s, func(o *server) {
+		o.each(since, func(p sample) {
+			if !p.failed {
+				sum += p.log
+				total++
+			}
+		})
+		for _, begun := range o.begun {
+			if age := logOf(t.Now.Sub(begun)); age > level.Mean {
+				sum += age
+				total++
+			}
+		}
+	})
+	level.Mean = max(level.Mean, sum/total)
+	return level
+}
+
+func (k *Tracker) others(s *server, f func(*server)) {
+	for _, o := range k.servers {
+		if o != s && o.state == InService {
+			f(o)
+		}
+	}
+}
+
+func (k *Tracker) eject(t turn.Turn, s *server, reason Reason, onset time.Time) []Op {
+	s.state = Ejected
+	s.holdEnd = t.Now.Add(k.hold(s.strikes))
+	s.strikes = min(s.strikes+1, mostStrikes)
+	s.reset()
+	return []Op{{Action: Eject, Server: s.id, Reason: reason, Onset: onset}}
+}
+
+func (k *Tracker) hold(strikes int) time.Duration {
+	hold := k.config.Hold
+	for range strikes {
+		hold = min(2*hold, k.config.MaxHold)
+	}
+	return hold
+}
+
+// judgeTrial counts good answers, and ejects again at the first bad one.
+func (k *Tracker) judgeTrial(t turn.Turn, s *server, level Level, p sample) []Op {
+	if s.state != OnTrial {
+		return nil
+	}
+	if p.failed || level.Weight > 0 && latencyRatio(level, p.log) >= mostStep {
+		return k.eject(t, s, ForTrial, p.at)
+	}
+	if level.Weight > 0 && latencyRatio(level, p.log) > 0 {
+		s.goodRun--
+	} else {
+		s.goodRun++
+	}
+	if s.goodRun < TrialAnswers {
+		return nil
+	}
+	return k.back(t, s)
+}
+
+func (k *Tracker) back(t turn.Turn, s *server) []Op {
+	s.state = InService
+	s.wellFrom = t.Now
+	s.reset()
+	return []Op{{Action: Return, Server: s.id}}
+}
+
+func (k *Tracker) judgeTrialAge(t turn.Turn, s *server) []Op {
+	level := k.level(s)
+	if level.Weight == 0 || s.ageSum(level, t.Now) < mostAge {
+		return nil
+	}
+	return k.eject(t, s, ForTrial, s.oldest(t.Now))
+}
+
+// forgive takes a strike from a server that has long been well.
+func (k *Tracker) forgive(t turn.Turn, s *server) {
+	if s.strikes == 0 {
+		return
+	}
+	if t.Now.Sub(s.wellFrom) < forgiveFactor*k.hold(s.strikes) {
+		return
+	}
+	s.strikes--
+	s.wellFrom = t.Now
+}
--- /dev/null
+++ b/internal/policy/retry/doc.go
@@ -0,0 +1,10 @@
+// Package retry bounds how much extra work retries and hedges may cause.
+//
+// A Budget earns a fraction of a token with every request and spends a whole
+// one with every attempt that may run the request again. Attempts that were
+// refused before they started cost the backend servers nothing and spend none;
+// Plan bounds them by number instead.
+//
+//	budget.Earn(percent)
+//	if plan.Next(outcome) == retry.Again { … }
+package retry
--- /dev/null
+++ b/internal/policy/retry/plan.go
@@ -0,0 +1,91 @@
+package retry
+
+import "time"
+
+// What an attempt came to.
+const (
+	// Refused attempts were never started.
+	Refused Outcome = iota + 1
+	// Unreached attempts were never started, because their sidecar could not
+	// be reached or has shown by a fence that it did not start them.
+	Unreached
+	// Broken attempts were started and have no whole answer.
+	Broken
+	// Lost attempts may or may not have been started.
+	Lost
+)
+
+// What to do next.
+const (
+	// Again makes another attempt.
+	Again Step = iota + 1
+	// GiveUpNotRun tells the caller that the request was not run.
+	GiveUpNotRun
+	// GiveUpUnknown tells the caller that the request may have been run.
+	GiveUpUnknown
+)
+
+type (
+	// Outcome is what an attempt came to, short of a whole answer.
+	Outcome int
+
+	// Step is what to do next about a request.
+	Step int
+
+	// Plan is one request's way through its attempts.
+	Plan struct {
+		Repeatable bool
+		// Most is the most attempts, the first included.
+		Most     int
+		Deadline time.Time
+		Budget   *Budget
+
+		attempts int
+		mayRun   bool
+	}
+)
+
+// Attempts returns how many attempts were made.
+func (p *Plan) Attempts() int {
+	return p.attempts
+}
+
+// MayHaveRun reports whether any attempt was started or may have been.
+func (p *Plan) MayHaveRun() bool {
+	return p.mayRun
+}
+
+// LastTry reports whether the next attempt is the last one.
+func (p *Plan) LastTry() bool {
+	return p.attempts >= p.Most-1
+}
+
+// Next takes the outcome of an attempt and decides.
+func (p *Plan) Next(now time.Time, o Outcome) Step {
+	p.attempts++
+	rerun := o == Broken || o == Lost
+	p.mayRun = p.mayRun || rerun
+	if p.attempts >= p.Most || !now.Before(p.Deadline) {
+		return p.giveUp()
+	}
+	if !rerun {
+		return Again
+	}
+	if !p.Repeatable || !p.Budget.Spend() {
+		return p.giveUp()
+	}
+	return Again
+}
+
+// giveUp is truthful over all attempts, not only the last.
+func (p *Plan) giveUp() Step {
+	if p.mayRun {
+		return GiveUpUnknown
+	}
+	return GiveUpNotRun
+}
+
+// GiveUp ends the request without another attempt.
+func (p *Plan) GiveUp() Step {
+	return p.giveUp()
+}
--- /dev/null
+++ b/internal/proxy/front/exchange.go
@@ -0,0 +1,297 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"path"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/policy/limit"
+	"github.com/figwick/figwick/internal/policy/retry"
+	"github.com/figwick/figwick/internal/policy/route"
+	"github.com/figwick/figwick/internal/state/config"
+	"github.com/figwick/figwick/internal/state/keys"
+)
+
+const (
+	// TimeoutHeader may shorten a request's deadline; a Go duration.
+	TimeoutHeader = "Figwick-Timeout"
+	// RepeatableHeader may mark a request as not repeatable by "false".
+	RepeatableHeader = "Figwick-Repeatable"
+	// KeyHeader names a request over several submissions.
+	KeyHeader = "Idempotency-Key"
+
+	// retrySoon is when a caller that was refused for load may come again.
+	retrySoon = time.Second
+)
+
+// exchange is one caller's request on its way to an outcome.
+type exchange struct {
+	server   *Server
+	writer   http.ResponseWriter
+	request  *http.Request
+	arrived  time.Time
+	deadline time.Time
+	match    config.Match
+	// repeatable is the match's, unless the request says otherwise.
+	repeatable bool
+	body       *source
+	headers    []*wire.Header
+	plan       retry.Plan
+	tried      []string
+	// committed tells that the answer's head has gone to the caller.
+	committed bool
+	// headed tells that the head of an answer has come.
+	headed atomic.Bool
+	// claim is the request's idempotency key, where it bears one.
+	claim *keys.Claim
+	// last is why the last attempt failed.
+	last trouble
+	// served is the backend server's own time.
+	served time.Duration
+}
+
+// serve takes the request to an outcome.
+func (x *exchange) serve() {
+	if !x.accept() {
+		return
+	}
+	ctx, cancel := context.WithCancel(x.request.Context())
+	defer cancel()
+	x.body = newSource(x)
+	defer x.body.close()
+	if x.repeatable || x.request.Header.Get(KeyHeader) == "" || x.server.config.Keys == nil {
+		x.run(ctx)
+		return
+	}
+	x.runKeyed(ctx)
+}
+
+// run makes attempts until there is an outcome, which it tells the caller.
+func (x *exchange) run(ctx context.Context) {
+	for {
+		sidecar, found := x.pick()
+		if !found {
+			x.end(x.plan.GiveUp())
+			return
+		}
+		result := x.attempt(ctx, sidecar)
+		if result.answered {
+			x.answered()
+			return
+		}
+		if ctx.Err() != nil {
+			x.abandon()
+			return
+		}
+		x.last = result.trouble
+		step := x.plan.Next(x.now(), result.outcome)
+		if step != retry.Again || !x.body.replay() {
+			x.end(x.finalStep(step))
+			return
+		}
+		x.server.config.Meter.Retries.Inc(1)
+	}
+}
+
+func (x *exchange) finalStep(step retry.Step) retry.Step {
+	if step == retry.Again {
+		return x.plan.GiveUp()
+	}
+	return step
+}
+
+func (x *exchange) answered() {
+	m := x.server.config.Meter
+	m.Answered.Inc(1)
+	took := x.now().Sub(x.arrived)
+	m.Latency.RecordDuration(took)
+	m.Added.RecordDuration(max(0, took-x.served))
+}
+
+// end tells the caller the outcome.
+func (x *exchange) end(step retry.Step) {
+	if step == retry.GiveUpUnknown {
+		x.unknown(x.last.step, x.last.peer, x.last.detail)
+		return
+	}
+	t := x.last
+	if t.status == 0 {
+		t = trouble{step: "route", detail: "no backend server can take the request now"}
+	}
+	t.status = http.StatusServiceUnavailable
+	if !x.now().Before(x.deadline) {
+		t.status = http.StatusGatewayTimeout
+	}
+	t.again = retrySoon
+	x.notRun(t)
+}
+
+// abandon ends the exchange of a caller that has gone. Nobody reads the answer;
+// it is there for logs and for callers that only seem gone.
+func (x *exchange) abandon() {
+	if x.plan.MayHaveRun() || x.plan.Attempts() == 0 {
+		x.unknown("caller", "", "the caller went away")
+		return
+	}
+	x.notRun(trouble{status: http.StatusServiceUnavailable, step: "caller", detail: "the caller went away"})
+}
+
+func (x *exchange) pick() (route.Sidecar, bool) {
+	var sidecar route.Sidecar
+	found := false
+	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
+		sidecar, found = l.picker.Pick(t, x.tried)
+		if !found && len(x.tried) > 0 && l.picker.Len() > 0 {
+			x.tried = x.tried[:0]
+			sidecar, found = l.picker.Pick(t, x.tried)
+		}
+	})
+	x.tried = append(x.tried, sidecar.Address)
+	return sidecar, found
+}
+
+func (x *exchange) now() time.Time {
+	return x.server.config.Clock.Now()
+}
+
+// accept checks a request before anything is attempted.
+func (x *exchange) accept() bool {
+	r := x.request
+	if r.Method == http.MethodConnect || upgrade(r) {
+		x.notRun(trouble{status: http.StatusNotImplemented, step: "accept", detail: "CONNECT and Upgrade are not served"})
+		return false
+	}
+	table := x.server.Table()
+	if table == nil {
+		x.notRun(trouble{
+			status: http.StatusServiceUnavailable, step: "accept", again: retrySoon,
+			detail: "this node has no configuration yet",
+		})
+		return false
+	}
+	match, found := table.Match(r.Host, r.Method, path.Clean("/"+r.URL.Path))
+	if !found {
+		x.notRun(trouble{status: http.StatusNotFound, step: "route", detail: fmt.Sprintf("no service for host %q", r.Host)})
+		return false
+	}
+	x.match = match
+	x.repeatable = match.Repeatable && !strings.EqualFold(r.Header.Get(RepeatableHeader), "false")
+	if r.ContentLength > match.Entry.MaxRequestBytes {
+		x.notRun(trouble{
+			status: http.StatusRequestEntityTooLarge, step: "accept",
+			detail: fmt.Sprintf("the body has more than %d bytes", match.Entry.MaxRequestBytes),
+		})
+		return false
+	}
+	return x.acceptDeadline() && x.acceptLimit()
+}
+
+func (x *exchange) acceptDeadline() bool {
+	timeout := x.match.Deadline
+	if text := x.request.Header.Get(TimeoutHeader); text != "" {
+		asked, err := time.ParseDuration(text)
+		if err != nil || asked <= 0 {
+			x.notRun(trouble{
+				status: http.StatusBadRequest, step: "accept",
+				detail: fmt.Sprintf("%s: %q is not a positive duration such as 1500ms", TimeoutHeader, text),
+			})
+			return false
+		}
+		timeout = min(timeout, asked)
+	}
+	x.deadline = x.arrived.Add(timeout)
+	x.headers = x.forwarded()
+	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
+		l.used = t.Now
+		l.budget.Earn(x.match.Entry.Retry.BudgetPercent)
+		x.plan = retry.Plan{
+			Repeatable: x.repeatable,
+			Most:       x.match.Entry.Retry.Attempts,
+			Deadline:   x.deadline,
+			Budget:     &l.budget,
+		}
+	})
+	return true
+}
+
+func (x *exchange) acceptLimit() bool {
+	e := x.match.Entry
+	caller := x.caller()
+	l, limited := e.Limit(caller)
+	if !limited {
+		return true
+	}
+	allowed := false
+	var again time.Duration
+	x.server.Limits(func(now time.Time, local *limit.Local) {
+		key := limit.Key{Service: e.Name, Caller: caller}
+		allowed, again = local.Allow(now, key, limit.Rate{PerSecond: l.Rate, Burst: l.Burst})
+	})
+	if allowed {
+		return true
+	}
+	x.server.config.Meter.Limited.Inc(1)
+	x.notRun(trouble{
+		status: http.StatusTooManyRequests, step: "limit", again: max(again, time.Millisecond),
+		detail: fmt.Sprintf("caller %q is over its limit of %g requests a second", caller, l.Rate),
+	})
+	return false
+}
+
+func (x *exchange) caller() ident.Caller {
+	if name := x.match.Entry.Limits.CallerHeader; name != "" {
+		if id := x.request.Header.Get(name); id != "" {
+			return ident.Caller(id)
+		}
+	}
+	host, _, err := net.SplitHostPort(x.request.RemoteAddr)
+	if err != nil {
+		return ident.Caller(x.request.RemoteAddr)
+	}
+	return ident.Caller(host)
+}
+
+// forwarded returns the headers for the backend server: the caller's own, less
+// those that end here, with the caller's address added.
+func (x *exchange) forwarded() []*wire.Header {
+	h := x.request.Header
+	list := wire.FromHeader(h)
+	kept := list[:0]
+	for _, field := range list {
+		switch field.Name {
+		case "Expect", TimeoutHeader, RepeatableHeader, "X-Forwarded-For":
+		default:
+			kept = append(kept, field)
+		}
+	}
+	if h.Get("Te") == "trailers" {
+		kept = append(kept, &wire.Header{Name: "Te", Value: "trailers"})
+	}
+	through := append(append([]string{}, h["X-Forwarded-For"]...), hostOf(x.request.RemoteAddr))
+	return append(kept, &wire.Header{Name: "X-Forwarded-For", Value: strings.Join(through, ", ")})
+}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+func upgrade(r *http.Request) bool {
+	return r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect
+}
+
+// errPath marks an attempt whose path fell silent.
+var errPath = errors.New("front: path fell silent")
--- /dev/null
+++ b/internal/proxy/front/server.go
@@ -0,0 +1,203 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/meter"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/peer/link"
+	"github.com/figwick/figwick/internal/policy/health"
+	"github.com/figwick/figwick/internal/policy/limit"
+	"github.com/figwick/figwick/internal/policy/retry"
+	"github.com/figwick/figwick/internal/policy/route"
+	"github.com/figwick/figwick/internal/state/config"
+)
+
+type (
+	// Opener opens streams to other nodes.
+	Opener interface {
+		Open(ctx context.Context, address string) (*link.Stream, error)
+		Drop(address string)
+	}
+
+	// Config makes a Server.
+	Config struct {
+		Clock  clockwork.Clock
+		Random turn.Source
+		Log    hclog.Logger
+		Meter  *meter.Meter
+		Links  Opener
+		Zone   ident.Zone
+		// Keys keeps the records of idempotency keys; nil keeps none.
+		Keys Keys
+	}
+
+	// Server is one node's ingress.
+	Server struct {
+		config   Config
+		table    atomic.Pointer[config.Table]
+		inFlight atomic.Int64
+		mutex    sync.Mutex
+		lanes    map[ident.Service]*lane
+		limits   limit.Local
+	}
+
+	// lane is one service as this ingress sees it.
+	lane struct {
+		picker route.Picker
+		budget retry.Budget
+		survey health.Survey
+		// used is when the last request came.
+		used time.Time
+	}
+)
+
+// NewServer returns a Server without a configuration.
+func NewServer(config Config) *Server {
+	return &Server{config: config, lanes: map[ident.Service]*lane{}}
+}
+
+// Configure puts a revision in force between two requests.
+func (s *Server) Configure(table *config.Table) {
+	s.table.Store(table)
+}
+
+// Table returns the revision in force, or nil.
+func (s *Server) Table() *config.Table {
+	return s.table.Load()
+}
+
+// InFlight returns how many callers' requests are under way.
+func (s *Server) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
+// ServeHTTP serves one caller's request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.config.Meter.InFlight.Update(float64(s.inFlight.Add(1)))
+	defer func() { s.config.Meter.InFlight.Update(float64(s.inFlight.Add(-1))) }()
+	x := &exchange{server: s, writer: w, request: r, arrived: s.config.Clock.Now()}
+	defer x.guard()
+	x.serve()
+}
+
+// SetSidecars tells which sidecars serve a service.
+func (s *Server) SetSidecars(name ident.Service, sidecars []route.Sidecar) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l := s.lane(name)
+	kept := map[string]bool{}
+	for _, c := range sidecars {
+		kept[c.Address] = true
+		l.picker.Set(c)
+	}
+	for _, address := range l.picker.Addresses() {
+		if !kept[address] {
+			l.picker.Remove(address)
+		}
+	}
+}
+
+// Used returns the services that had requests since a time.
+func (s *Server) Used(since time.Time) []ident.Service {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var used []ident.Service
+	for name, l := range s.lanes {
+		if l.used.After(since) {
+			used = append(used, name)
+		}
+	}
+	return used
+}
+
+// Limits runs a function on the limits of this ingress.
+func (s *Server) Limits(f func(now time.Time, l *limit.Local)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f(s.config.Clock.Now(), &s.limits)
+}
+
+// with runs a function on a lane.
+func (s *Server) with(name ident.Service, f func(t turn.Turn, l *lane)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f(turn.Turn{Now: s.config.Clock.Now(), Random: s.config.Random}, s.lane(name))
+}
+
+func (s *Server) lane(name ident.Service) *lane {
+	l, found := s.lanes[name]
+	if !found {
+		l = &lane{picker: route.Picker{Zone: s.config.Zone}}
+		s.lanes[name] = l
+	}
+	return l
+}
+
+// guard keeps a failed handler from leaving its caller without a truthful
+// answer.
+func (x *exchange) guard() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, is := cause.(error); is && errors.Is(err, http.ErrAbortHandler) {
+		panic(cause)
+	}
+	events.Emit(x.server.config.Log, events.HandlerPanicked, "cause", cause)
+	if x.committed {
+		panic(http.ErrAbortHandler)
+	}
+	x.unknown("handler", "", "internal error")
+}
+
+type (
+	// Report is the ingress's state, for a dump.
+	Report struct {
+		Revision ident.Revision `json:"revision"`
+		InFlight int            `json:"in-flight"`
+		Callers  int            `json:"limited-callers"`
+		Services []LaneReport   `json:"services"`
+	}
+
+	// LaneReport is one service of a Report.
+	LaneReport struct {
+		Name        ident.Service  `json:"name"`
+		RetryTokens float64        `json:"retry-tokens"`
+		Retried     int            `json:"retried"`
+		Denied      int            `json:"retries-denied"`
+		Sidecars    []route.Report `json:"sidecars"`
+	}
+)
+
+// Dump reports on everything.
+func (s *Server) Dump() Report {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.config.Clock.Now()
+	r := Report{InFlight: s.InFlight(), Callers: s.limits.Len()}
+	if table := s.Table(); table != nil {
+		r.Revision = table.Revision
+	}
+	for _, name := range sortedNames(s.lanes) {
+		l := s.lanes[name]
+		r.Services = append(r.Services, LaneReport{
+			Name:        name,
+			RetryTokens: l.budget.Tokens(),
+			Retried:     l.budget.Spent,
+			Denied:      l.budget.Denied,
+			Sidecars:    l.picker.Dump(now),
+		})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/proxy/node/backends.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/desk"
+	"github.com/figwick/figwick/internal/state/roster"
+)
+
+const (
+	announcementBytes = 16 << 10
+	backendPath       = "/v1/backend-servers/{id}"
+)
+
+type (
+	// Announced answers an announcement.
+	Announced struct {
+		// RenewAfterMS is when the next announcement is wanted.
+		RenewAfterMS int64 `json:"renew-after-ms"`
+		// Allowed tells whether the file in force lets the server serve.
+		Allowed bool `json:"allowed"`
+		// Leaving is set while this node leaves: announce to the next node with
+		// a higher incarnation.
+		Leaving bool `json:"leaving,omitempty"`
+	}
+
+	// announceProblem answers a call that was not taken.
+	announceProblem struct {
+		Title  string `json:"title"`
+		Status int    `json:"status"`
+		Field  string `json:"field,omitempty"`
+		Detail string `json:"detail"`
+	}
+)
+
+// renewAfter leaves room for two lost renewals within a lease.
+const renewAfter = roster.Lease / 4
+
+// backendHandler takes what backend servers say of themselves.
+func (n *Node) backendHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+backendPath, n.serveAnnounce)
+	mux.HandleFunc("DELETE "+backendPath, n.serveLeave)
+	return mux
+}
+
+func (n *Node) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var a roster.Announcement
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, announcementBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		refuseAnnouncement(w, http.StatusBadRequest, &roster.FieldError{Field: fieldOf(err), Text: err.Error()})
+		return
+	}
+	if id := ident.Backend(r.PathValue("id")); a.ID == "" {
+		a.ID = id
+	} else if a.ID != id {
+		refuseAnnouncement(w, http.StatusBadRequest, &roster.FieldError{Field: "id", Text: "differs from the path"})
+		return
+	}
+	if _, err := a.Check(); err != nil {
+		refuseAnnouncement(w, http.StatusBadRequest, err)
+		return
+	}
+	if a.Zone == "" {
+		a.Zone = n.config.Zone
+	}
+	phase := n.state.Load()
+	if phase == phaseDraining {
+		reply(w, http.StatusServiceUnavailable, Announced{Leaving: true})
+		return
+	}
+	allowed, err := n.announce(a)
+	if err != nil {
+		refuseAnnouncement(w, http.StatusConflict, err)
+		return
+	}
+	reply(w, http.StatusOK, Announced{
+		RenewAfterMS: renewAfter.Milliseconds(),
+		Allowed:      allowed,
+		Leaving:      phase != phaseServing,
+	})
+}
+
+func (n *Node) announce(a roster.Announcement) (allowed bool, err error) {
+	known := false
+	n.side.Do(func(t turn.Turn, d *desk.Desk) desk.Ops {
+		var ops desk.Ops
+		known = d.Knows(a.ID, a.Incarnation)
+		ops, err = d.Announce(t, a)
+		allowed = d.Allowed(a.ID)
+		return ops
+	})
+	if err == nil && !known {
+		events.Emit(n.log, events.BackendAnnounced, "service", string(a.Service),
+			"backend-server", string(a.ID), "address", a.Address, "state", string(a.State),
+			"incarnation", uint64(a.Incarnation), "allowed", allowed)
+	}
+	return allowed, err
+}
+
+func (n *Node) serveLeave(w http.ResponseWriter, r *http.Request) {
+	incarnation, err := strconv.ParseUint(r.URL.Query().Get("incarnation"), 10, 64)
+	if err != nil {
+		refuseAnnouncement(w, http.StatusBadRequest, &roster.FieldError{Field: "incarnation", Text: "must be a number"})
+		return
+	}
+	known := false
+	n.side.Do(func(t turn.Turn, d *desk.Desk) desk.Ops {
+		var ops desk.Ops
+		ops, known = d.Leave(t, ident.Backend(r.PathValue("id")), ident.Incarnation(incarnation))
+		return ops
+	})
+	if !known {
+		refuseAnnouncement(w, http.StatusNotFound, errors.New("not announced here"))
+		return
+	}
+	events.Emit(n.log, events.BackendGone, "backend-server", r.PathValue("id"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// fieldOf names the field that a decoder stumbled over, where it tells.
+func fieldOf(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		return wrong.Field
+	}
+	return "body"
+}
+
+func refuseAnnouncement(w http.ResponseWriter, status int, err error) {
+	problem := announceProblem{Title: http.StatusText(status), Status: status, Detail: err.Error()}
+	var field *roster.FieldError
+	if errors.As(err, &field) {
+		problem.Field = field.Field
+		problem.Detail = field.Text
+	}
+	reply(w, status, problem)
+}
+
+func reply(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/proxy/node/books.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/desk"
+	"github.com/figwick/figwick/internal/policy/floor"
+	"github.com/figwick/figwick/internal/state/store"
+)
+
+const (
+	bookPrefix = "floor/"
+	// settleTime bounds the handing back of tokens at a stop.
+	settleTime = 2 * time.Second
+)
+
+// books keeps the node's tokens of every floor in step with the store.
+type books struct {
+	node  *Node
+	store *countedStore
+}
+
+func (b *books) tick(ctx context.Context) {
+	var wants []ident.Service
+	b.node.side.Look(func(t turn.Turn, d *desk.Desk) { wants = d.BookWants(t.Now) })
+	for _, name := range wants {
+		if !b.write(ctx, name) {
+			return
+		}
+	}
+}
+
+// settle hands back the tokens of a node that stops.
+func (b *books) settle(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, settleTime)
+	defer done()
+	b.tick(ctx)
+}
+
+// write reads a Book and writes it back with the node's entry. It reports false
+// where the store does not answer, so that the others wait too.
+func (b *books) write(ctx context.Context, name ident.Service) bool {
+	key := bookPrefix + string(name)
+	item, err := b.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return false
+	}
+	var book floor.Book
+	if err == nil && json.Unmarshal(item.Value, &book) != nil {
+		book = floor.Book{}
+	}
+	dead := b.node.fleet.dead()
+	known := false
+	b.node.side.Look(func(t turn.Turn, d *desk.Desk) { known = d.BookWrite(t.Now, name, dead, &book) })
+	if !known {
+		return true
+	}
+	text, err := json.Marshal(book)
+	if err != nil {
+		b.wrote(name, false)
+		return true
+	}
+	_, err = b.store.CAS(ctx, key, text, item.Version, 0)
+	switch {
+	case err == nil:
+		b.wrote(name, true)
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrTooLarge):
+		b.wrote(name, false)
+	default:
+		b.node.side.Look(func(_ turn.Turn, d *desk.Desk) { d.BookLost(name) })
+		return false
+	}
+	return true
+}
+
+func (b *books) wrote(name ident.Service, accepted bool) {
+	b.node.side.Look(func(_ turn.Turn, d *desk.Desk) { d.BookWrote(name, accepted) })
+}
--- /dev/null
+++ b/internal/proxy/node/directory.go
@@ -0,0 +1,338 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/policy/desk"
+	"github.com/figwick/figwick/internal/policy/route"
+	"github.com/figwick/figwick/internal/state/index"
+	"github.com/figwick/figwick/internal/state/member"
+)
+
+const (
+	// getEvery is how often the records of a wanted service are asked for.
+	getEvery = 2 * time.Second
+	// wantedFor is how long a service is wanted after its last request.
+	wantedFor = 2 * time.Minute
+)
+
+type (
+	// directory puts the node's own records, gets those it wants, and owns the
+	// directory of some services.
+	directory struct {
+		node   *Node
+		mutex  sync.Mutex
+		index  index.Index
+		puts   map[ident.Service]*put
+		wants  map[ident.Service]time.Time
+		owners map[ident.Service][]string
+	}
+
+	// put is the last record that was put for a service.
+	put struct {
+		record *wire.ServiceRecord
+		owners []string
+		at     time.Time
+	}
+)
+
+func (d *directory) tick(ctx context.Context) {
+	puts := d.duePuts()
+	gets := d.dueGets()
+	batches := map[string]*wire.Directory{}
+	batch := func(address string) *wire.Directory {
+		b, found := batches[address]
+		if !found {
+			b = &wire.Directory{From: string(d.node.config.ID)}
+			batches[address] = b
+		}
+		return b
+	}
+	for _, p := range puts {
+		for _, address := range p.owners {
+			b := batch(address)
+			b.Puts = append(b.Puts, p.record)
+		}
+	}
+	for _, name := range gets {
+		owners := addresses(d.node.fleet.ownersOf(string(name), index.Owners))
+		if len(owners) == 0 {
+			continue
+		}
+		b := batch(d.choose(name, owners))
+		b.Gets = append(b.Gets, string(name))
+	}
+	for address, b := range batches {
+		go d.exchange(ctx, address, b)
+	}
+}
+
+// choose keeps to one owner of a service as long as it answers.
+func (d *directory) choose(name ident.Service, owners []string) string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.owners == nil {
+		d.owners = map[ident.Service][]string{}
+	}
+	tried := d.owners[name]
+	for _, address := range owners {
+		if !slices.Contains(tried, address) {
+			return address
+		}
+	}
+	d.owners[name] = nil
+	return owners[0]
+}
+
+// duePuts returns the records that have changed or are due again.
+func (d *directory) duePuts() []*put {
+	records := d.node.ownRecords()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.puts == nil {
+		d.puts = map[ident.Service]*put{}
+	}
+	now := d.node.config.Clock.Now()
+	var due []*put
+	present := map[ident.Service]bool{}
+	for _, r := range records {
+		name := ident.Service(r.Service)
+		present[name] = true
+		if p := d.due(now, name, r); p != nil {
+			due = append(due, p)
+		}
+	}
+	for name, p := range d.puts {
+		if !present[name] {
+			due = append(due, &put{record: &wire.ServiceRecord{
+				Service: string(name), Node: string(d.node.config.ID), Address: d.node.config.Address,
+			}, owners: p.owners})
+			delete(d.puts, name)
+		}
+	}
+	return due
+}
+
+func (d *directory) due(now time.Time, name ident.Service, r *wire.ServiceRecord) *put {
+	owners := addresses(d.node.fleet.ownersOf(string(name), index.Owners))
+	last, known := d.puts[name]
+	if known && now.Sub(last.at) < index.PutEvery && slices.Equal(owners, last.owners) && equalRecords(last.record, r) {
+		return nil
+	}
+	p := &put{record: r, owners: owners, at: now}
+	d.puts[name] = p
+	return p
+}
+
+// dueGets returns the services wanted by callers here, or served from here.
+func (d *directory) dueGets() []ident.Service {
+	now := d.node.config.Clock.Now()
+	wanted := d.node.front.Used(now.Add(-wantedFor))
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for name := range d.puts {
+		if !slices.Contains(wanted, name) {
+			wanted = append(wanted, name)
+		}
+	}
+	if d.wants == nil {
+		d.wants = map[ident.Service]time.Time{}
+	}
+	var due []ident.Service
+	for _, name := range wanted {
+		if now.Before(d.wants[name]) {
+			continue
+		}
+		d.wants[name] = now.Add(getEvery)
+		due = append(due, name)
+	}
+	slices.Sort(due)
+	return due
+}
+
+func (d *directory) exchange(ctx context.Context, address string, b *wire.Directory) {
+	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
+	defer done()
+	reply, err := ask[wire.DirectoryReply](ctx, d.node, address, wire.KindDirectory, b, wire.KindDirectoryReply)
+	if err != nil {
+		d.failed(address, b)
+		return
+	}
+	d.moved(reply.Moved)
+	byService := map[string][]*wire.ServiceRecord{}
+	for _, r := range reply.Records {
+		byService[r.Service] = append(byService[r.Service], r)
+	}
+	for _, name := range b.Gets {
+		d.learn(ident.Service(name), byService[name])
+	}
+}
+
+// failed asks another owner next time, and puts again.
+func (d *directory) failed(address string, b *wire.Directory) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, name := range b.Gets {
+		d.wants[ident.Service(name)] = time.Time{}
+		d.owners[ident.Service(name)] = append(d.owners[ident.Service(name)], address)
+	}
+	for _, r := range b.Puts {
+		if p, found := d.puts[ident.Service(r.Service)]; found {
+			p.at = p.at.Add(-index.PutEvery / 2)
+		}
+	}
+}
+
+// learn takes the records of a service to the ingress and the sidecar.
+func (d *directory) learn(name ident.Service, records []*wire.ServiceRecord) {
+	self := string(d.node.config.ID)
+	others := desk.Others{}
+	sidecars := make([]route.Sidecar, 0, len(records))
+	for _, r := range records {
+		sidecars = append(sidecars, route.Sidecar{
+			Address: r.Address,
+			Node:    ident.Node(r.Node),
+			Zone:    ident.Zone(r.Zone),
+			Slots:   int(r.Slots),
+			Leaving: r.Leaving,
+		})
+		if r.Node != self {
+			others.Alive += int(r.Alive)
+			others.InService += int(r.InService)
+		}
+	}
+	d.node.front.SetSidecars(name, sidecars)
+	d.node.side.Look(func(_ turn.Turn, k *desk.Desk) { k.SetOthers(name, others) })
+}
+
+// moved forgets the backend servers that another node has by now.
+func (d *directory) moved(marks []*wire.BackendMark) {
+	for _, m := range marks {
+		d.node.side.Do(func(t turn.Turn, k *desk.Desk) desk.Ops {
+			ops, known := k.Moved(t, ident.Backend(m.Id), ident.Incarnation(m.Incarnation))
+			if known {
+				events.Emit(d.node.log, events.BackendMoved, "backend-server", m.Id)
+			}
+			return ops
+		})
+	}
+}
+
+// receive serves a node that puts to, or asks, the directory here.
+func (d *directory) receive(b *wire.Directory) *wire.DirectoryReply {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.node.config.Clock.Now()
+	reply := &wire.DirectoryReply{}
+	for _, r := range b.Puts {
+		for _, m := range d.index.Put(now, fromRecord(r)) {
+			reply.Moved = append(reply.Moved, &wire.BackendMark{Id: string(m.ID), Incarnation: uint64(m.Incarnation)})
+		}
+	}
+	for _, name := range b.Gets {
+		for _, f := range d.index.Get(now, ident.Service(name)) {
+			reply.Records = append(reply.Records, toFound(&f))
+		}
+	}
+	return reply
+}
+
+// find asks the owners of a service's directory in turn, for status.
+func (d *directory) find(ctx context.Context, names []string) map[string][]*wire.ServiceRecord {
+	found := map[string][]*wire.ServiceRecord{}
+	for _, name := range names {
+		for _, owner := range d.node.fleet.ownersOf(name, index.Owners) {
+			asking, done := context.WithTimeout(ctx, exchangeTimeout)
+			reply, err := ask[wire.DirectoryReply](asking, d.node, owner.Address, wire.KindDirectory,
+				&wire.Directory{From: string(d.node.config.ID), Gets: []string{name}}, wire.KindDirectoryReply)
+			done()
+			if err == nil {
+				found[name] = reply.Records
+				break
+			}
+		}
+	}
+	return found
+}
+
+// ownRecords sums up the services behind this node's sidecar.
+func (n *Node) ownRecords() []*wire.ServiceRecord {
+	leaving := n.state.Load() != phaseServing
+	var records []*wire.ServiceRecord
+	n.side.Look(func(t turn.Turn, d *desk.Desk) {
+		for _, s := range d.Summaries(t) {
+			r := &wire.ServiceRecord{
+				Service: string(s.Service),
+				Node:    string(n.config.ID),
+				Address: n.config.Address,
+				Zone:    string(n.config.Zone),
+				Slots:   uint32(s.Slots),
+				Leaving: leaving,
+			}
+			for _, m := range s.Marks {
+				r.Backends = append(r.Backends, &wire.BackendMark{
+					Id: string(m.ID), Incarnation: uint64(m.Incarnation), Standing: wire.Standing(m.Standing),
+				})
+			}
+			records = append(records, r)
+		}
+	})
+	return records
+}
+
+func equalRecords(a, b *wire.ServiceRecord) bool {
+	return a.Slots == b.Slots && a.Leaving == b.Leaving &&
+		slices.EqualFunc(a.Backends, b.Backends, func(x, y *wire.BackendMark) bool {
+			return x.Id == y.Id && x.Incarnation == y.Incarnation && x.Standing == y.Standing
+		})
+}
+
+func fromRecord(w *wire.ServiceRecord) index.Record {
+	r := index.Record{
+		Service: ident.Service(w.Service),
+		Node:    ident.Node(w.Node),
+		Address: w.Address,
+		Zone:    ident.Zone(w.Zone),
+		Slots:   int(w.Slots),
+		Leaving: w.Leaving,
+	}
+	for _, m := range w.Backends {
+		r.Backends = append(r.Backends, index.Mark{
+			ID:          ident.Backend(m.Id),
+			Incarnation: ident.Incarnation(m.Incarnation),
+			Standing:    index.Standing(m.Standing),
+		})
+	}
+	return r
+}
+
+func toFound(f *index.Found) *wire.ServiceRecord {
+	return &wire.ServiceRecord{
+		Service:   string(f.Service),
+		Node:      string(f.Node),
+		Address:   f.Address,
+		Zone:      string(f.Zone),
+		Slots:     uint32(f.Slots),
+		Leaving:   f.Leaving,
+		AgeMs:     f.Age.Milliseconds(),
+		Alive:     uint32(f.Alive),
+		InService: uint32(f.InService),
+		Ejected:   uint32(f.Ejected),
+		Draining:  uint32(f.Draining),
+	}
+}
+
+func addresses(records []member.Record) []string {
+	list := make([]string, len(records))
+	for i := range records {
+		list[i] = records[i].Address
+	}
+	return list
+}
--- /dev/null
+++ b/internal/proxy/node/fleet.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/state/member"
+)
+
+// exchangeTimeout bounds one exchange with another node.
+const exchangeTimeout = time.Second
+
+// fleet drives the Group of a node.
+type fleet struct {
+	node  *Node
+	mutex sync.Mutex
+	group *member.Group
+	// news wakes those who wait for a newer configuration.
+	news chan struct{}
+}
+
+func newFleet(n *Node) *fleet {
+	return &fleet{
+		node: n,
+		news: make(chan struct{}, 1),
+		group: member.New(member.Config{
+			Self: member.Record{
+				ID:          n.config.ID,
+				Address:     n.config.Address,
+				Zone:        n.config.Zone,
+				Instance:    n.instance,
+				Incarnation: ident.Incarnation(n.started.UnixMilli()),
+			},
+			Seeds: n.config.Join,
+		}),
+	}
+}
+
+func (f *fleet) tick(ctx context.Context) {
+	f.send(ctx, func(t turn.Turn) []member.Exchange { return f.group.Tick(t) })
+}
+
+// send carries out the exchanges that an event of the Group asks for.
+func (f *fleet) send(ctx context.Context, event func(t turn.Turn) []member.Exchange) {
+	f.mutex.Lock()
+	exchanges := event(f.node.turn())
+	changes := f.group.Changes()
+	f.mutex.Unlock()
+	f.report(changes)
+	for _, e := range exchanges {
+		go f.exchange(ctx, e)
+	}
+}
+
+func (f *fleet) exchange(ctx context.Context, e member.Exchange) {
+	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
+	defer done()
+	reply, err := ask[wire.Gossip](ctx, f.node, e.Address, wire.KindGossip, toGossip(e.Message), wire.KindGossip)
+	f.mutex.Lock()
+	if err != nil {
+		f.group.Failed(f.node.turn(), e.To)
+	} else {
+		f.group.Reply(f.node.turn(), e.To, fromGossip(reply))
+	}
+	f.after()
+}
+
+func (f *fleet) receive(m *wire.Gossip) *wire.Gossip {
+	f.mutex.Lock()
+	answer := f.group.Receive(f.node.turn(), fromGossip(m))
+	f.after()
+	return toGossip(answer)
+}
+
+// after reports what an event changed and releases the mutex.
+func (f *fleet) after() {
+	changes := f.group.Changes()
+	newer := f.group.Newest().Revision > f.group.InForce()
+	f.mutex.Unlock()
+	f.report(changes)
+	if newer {
+		f.wake()
+	}
+}
+
+func (f *fleet) wake() {
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+func (f *fleet) report(changes []member.Change) {
+	for _, c := range changes {
+		fields := []any{"node", string(c.Node.ID), "address", c.Node.Address, "state", c.State.String()}
+		switch {
+		case c.New:
+			events.Emit(f.node.log, events.NodeJoined, fields...)
+		case c.State == member.Suspect:
+			events.Emit(f.node.log, events.NodeSuspected, fields...)
+		case c.State == member.Dead:
+			events.Emit(f.node.log, events.NodeDead, fields...)
+		case c.State == member.Alive:
+			events.Emit(f.node.log, events.NodeBack, fields...)
+		}
+	}
+}
+
+// setRevision tells the neighbours at once of a configuration in force.
+func (f *fleet) setRevision(r ident.Revision) {
+	f.send(context.Background(), func(t turn.Turn) []member.Exchange {
+		f.group.SetRevision(r)
+		return f.group.Hurry(t)
+	})
+}
+
+// leave tells the neighbours that the node leaves, and waits a moment for them.
+func (f *fleet) leave(ctx context.Context, gone bool) {
+	f.mutex.Lock()
+	f.group.Leave(f.node.turn(), gone)
+	exchanges := f.group.Hurry(f.node.turn())
+	f.mutex.Unlock()
+	var told sync.WaitGroup
+	for _, e := range exchanges {
+		told.Go(func() { f.exchange(ctx, e) })
+	}
+	told.Wait()
+}
+
+func (f *fleet) newest() member.Newest {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.group.Newest()
+}
+
+func (f *fleet) live() []member.Record {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.group.Live()
+}
+
+// working returns the nodes besides this one that take work.
+func (f *fleet) working() []member.Record {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var others []member.Record
+	for _, id := range f.group.Working() {
+		if id == f.node.config.ID {
+			continue
+		}
+		r, _, _ := f.group.Find(id)
+		others = append(others, r)
+	}
+	return others
+}
+
+func (f *fleet) dead() []ident.Node {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.group.Dead()
+}
+
+// ownersOf returns the nodes of the highest rank for a key, by address. The
+// node itself counts until it leaves.
+func (f *fleet) ownersOf(key string, n int) []member.Record {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	ids := member.Rendezvous(key, f.group.Working(), n)
+	records := make([]member.Record, len(ids))
+	for i, id := range ids {
+		records[i], _, _ = f.group.Find(id)
+	}
+	return records
+}
+
+// inZone returns the working nodes of the node's availability zone.
+func (f *fleet) inZone() []ident.Node {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var ids []ident.Node
+	for _, id := range f.group.Working() {
+		if r, _, _ := f.group.Find(id); r.Zone == f.node.config.Zone {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func toGossip(m member.Message) *wire.Gossip {
+	g := &wire.Gossip{From: string(m.From), Revision: uint64(m.Revision), Digest: m.Digest}
+	for i := range m.Records {
+		g.Nodes = append(g.Nodes, toNode(&m.Records[i]))
+	}
+	return g
+}
+
+func toNode(r *member.Record) *wire.NodeRecord {
+	w := &wire.NodeRecord{
+		Id:          string(r.ID),
+		Address:     r.Address,
+		Zone:        string(r.Zone),
+		Instance:    uint64(r.Instance),
+		Incarnation: uint64(r.Incarnation),
+		Beat:        r.Beat,
+		Leaving:     r.Leaving,
+		Gone:        r.Gone,
+	}
+	for _, id := range r.Accusers {
+		w.Accusers = append(w.Accusers, string(id))
+	}
+	return w
+}
+
+func fromGossip(g *wire.Gossip) member.Message {
+	m := member.Message{
+		From:     ident.Node(g.From),
+		Revision: ident.Revision(g.Revision),
+		Digest:   g.Digest,
+		Records:  make([]member.Record, 0, len(g.Nodes)),
+	}
+	for _, w := range g.Nodes {
+		m.Records = append(m.Records, fromNode(w))
+	}
+	return m
+}
+
+func fromNode(w *wire.NodeRecord) member.Record {
+	r := member.Record{
+		ID:          ident.Node(w.Id),
+		Address:     w.Address,
+		Zone:        ident.Zone(w.Zone),
+		Instance:    ident.Instance(w.Instance),
+		Incarnation: ident.Incarnation(w.Incarnation),
+		Beat:        w.Beat,
+		Leaving:     w.Leaving,
+		Gone:        w.Gone,
+	}
+	for _, id := range w.Accusers {
+		r.Accusers = append(r.Accusers, ident.Node(id))
+	}
+	return r
+}
--- /dev/null
+++ b/internal/proxy/node/handle.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/peer/link"
+	"github.com/figwick/figwick/internal/peer/wire"
+)
+
+// frameBytes is what a message costs besides itself: its frame, two yamux
+// headers and a share of the packets below.
+const frameBytes = 5 + 2*12 + 40
+
+// handle serves one stream of a peer by what its first frame asks.
+func (n *Node) handle(ctx context.Context, peer link.Peer, conn *wire.Conn, first wire.Frame) {
+	err := n.dispatch(ctx, conn, first)
+	if errors.Is(err, wire.ErrFrame) {
+		events.Emit(n.log, events.PeerRefused, "peer", peer.Address, "error", err)
+	}
+}
+
+func (n *Node) dispatch(ctx context.Context, conn *wire.Conn, first wire.Frame) error {
+	switch first.Kind {
+	case wire.KindRequestHead:
+		return serve(first, first.Kind, func(m *wire.RequestHead) error {
+			n.side.Attempt(ctx, conn, m)
+			return nil
+		})
+	case wire.KindFence:
+		return serve(first, first.Kind, func(m *wire.Fence) error {
+			n.side.Fence(ctx, conn, m)
+			return nil
+		})
+	case wire.KindRelay:
+		return serve(first, first.Kind, func(m *wire.Relay) error { return n.relay(ctx, conn, m) })
+	case wire.KindGossip:
+		return serve(first, first.Kind, func(m *wire.Gossip) error {
+			return n.answer(conn, wire.KindGossip, n.fleet.receive(m))
+		})
+	case wire.KindDirectory:
+		return serve(first, first.Kind, func(m *wire.Directory) error {
+			return n.answer(conn, wire.KindDirectoryReply, n.directory.receive(m))
+		})
+	case wire.KindConfigFetch:
+		return serve(first, first.Kind, func(m *wire.ConfigFetch) error {
+			return n.answer(conn, wire.KindConfigReply, n.configs.receive(m))
+		})
+	case wire.KindDemands:
+		return serve(first, first.Kind, func(m *wire.Demands) error {
+			return n.answer(conn, wire.KindShares, n.homes.receive(m))
+		})
+	default:
+		return errors.Wrapf(wire.ErrFrame, "kind %d opens no exchange", first.Kind)
+	}
+}
+
+// serve decodes the first frame of a stream and hands it on.
+func serve[M any, P interface {
+	*M
+	proto.Message
+}](f wire.Frame, kind wire.Kind, handle func(m P) error) error {
+	m, err := wire.Decode[M, P](f, kind)
+	if err != nil {
+		return err
+	}
+	return handle(m)
+}
+
+func (n *Node) answer(conn *wire.Conn, kind wire.Kind, m proto.Message) error {
+	n.meter.ControlBytes.Inc(int64(proto.Size(m) + frameBytes))
+	return conn.Send(kind, m)
+}
+
+// ask sends one message to a node and returns the answer.
+func ask[M any, P interface {
+	*M
+	proto.Message
+}](ctx context.Context, n *Node, address string, kind wire.Kind, m proto.Message, reply wire.Kind) (P, error) {
+	stream, err := n.links.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	n.meter.ControlBytes.Inc(int64(proto.Size(m) + frameBytes))
+	if err := stream.Send(kind, m); err != nil {
+		return nil, errors.Wrapf(err, "node: ask %s", address)
+	}
+	answer, err := wire.Receive[M, P](stream.Conn, reply)
+	return answer, errors.Wrapf(err, "node: answer of %s", address)
+}
+
+// relay passes the rest of a stream on to another node, for a peer that cannot
+// reach it.
+func (n *Node) relay(ctx context.Context, conn *wire.Conn, m *wire.Relay) error {
+	n.relayed.Add(1)
+	defer n.relayed.Add(-1)
+	opening, done := context.WithTimeout(ctx, exchangeTimeout)
+	defer done()
+	far, err := n.links.Open(opening, m.Address)
+	if err != nil {
+		return err
+	}
+	defer far.Close()
+	go func() {
+		_, _ = io.Copy(far.Stream(), conn.Reader())
+		_ = far.Close()
+	}()
+	_, err = io.Copy(conn.Stream(), far.Reader())
+	return errors.Wrapf(err, "node: relay to %s", m.Address)
+}
--- /dev/null
+++ b/internal/proxy/node/homes.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/policy/limit"
+	"github.com/figwick/figwick/internal/state/member"
+)
+
+// homes moves shares of callers' limits between nodes: it asks the homes of the
+// callers seen here, and is home to others.
+type homes struct {
+	node  *Node
+	mutex sync.Mutex
+	home  limit.Home
+}
+
+func newHomes(n *Node) *homes {
+	return &homes{node: n, home: limit.Home{Since: n.started}}
+}
+
+func (h *homes) tick(ctx context.Context) {
+	working := len(h.node.fleet.working()) + 1
+	var demands []limit.Demand
+	h.node.front.Limits(func(now time.Time, l *limit.Local) {
+		l.Nodes = working
+		demands = l.Demands(now)
+	})
+	h.mutex.Lock()
+	h.home.Visible = h.node.fleet.visible()
+	h.home.Expire(h.node.config.Clock.Now())
+	h.mutex.Unlock()
+	batches := map[string]*wire.Demands{}
+	for _, d := range demands {
+		owners := h.node.fleet.ownersOf(string(d.Key.Service)+"/"+string(d.Key.Caller), 1)
+		if len(owners) == 0 {
+			continue
+		}
+		b, found := batches[owners[0].Address]
+		if !found {
+			b = &wire.Demands{From: string(h.node.config.ID)}
+			batches[owners[0].Address] = b
+		}
+		b.Demands = append(b.Demands, toDemand(d))
+	}
+	for address, b := range batches {
+		go h.exchange(ctx, address, b)
+	}
+}
+
+func (h *homes) exchange(ctx context.Context, address string, b *wire.Demands) {
+	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
+	defer done()
+	asked := h.node.config.Clock.Now()
+	reply, err := ask[wire.Shares](ctx, h.node, address, wire.KindDemands, b, wire.KindShares)
+	if err != nil {
+		return
+	}
+	h.node.front.Limits(func(_ time.Time, l *limit.Local) {
+		for _, s := range reply.Shares {
+			l.Granted(asked, limit.Share{
+				Key:       limit.Key{Service: ident.Service(s.Service), Caller: ident.Caller(s.Caller)},
+				PerSecond: s.PerSecond,
+			})
+		}
+	})
+}
+
+// receive serves a node that asks for shares.
+func (h *homes) receive(m *wire.Demands) *wire.Shares {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.node.config.Clock.Now()
+	reply := &wire.Shares{}
+	for _, d := range m.Demands {
+		s := h.home.Assign(now, ident.Node(m.From), limit.Demand{
+			Key:       limit.Key{Service: ident.Service(d.Service), Caller: ident.Caller(d.Caller)},
+			PerSecond: d.PerSecond,
+			Rate:      limit.Rate{PerSecond: d.Rate, Burst: d.Burst},
+		})
+		reply.Shares = append(reply.Shares, &wire.Share{
+			Service: d.Service, Caller: d.Caller, PerSecond: s.PerSecond,
+		})
+	}
+	return reply
+}
+
+func toDemand(d limit.Demand) *wire.Demand {
+	return &wire.Demand{
+		Service:   string(d.Key.Service),
+		Caller:    string(d.Key.Caller),
+		PerSecond: d.PerSecond,
+		Rate:      d.Rate.PerSecond,
+		Burst:     d.Rate.Burst,
+	}
+}
+
+// visible is the part of the known nodes that are not dead without having left.
+func (f *fleet) visible() float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	lost := 0
+	for _, id := range f.group.Dead() {
+		if r, state, _ := f.group.Find(id); state == member.Dead && !r.Gone {
+			lost++
+		}
+	}
+	live := len(f.group.Live())
+	return float64(live) / float64(live+lost)
+}
+
+// addSeeds adds addresses to join by.
+func (f *fleet) addSeeds(seeds []string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.group.AddSeeds(seeds)
+}
--- /dev/null
+++ b/internal/proxy/node/loops.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/desk"
+)
+
+const (
+	// deskBeat is how often ages and deadlines at the sidecar are looked at.
+	deskBeat = 50 * time.Millisecond
+	// fleetBeat is how often due exchanges are looked for.
+	fleetBeat = 200 * time.Millisecond
+	// putBeat is how often changes are looked for to put to directories.
+	putBeat = 250 * time.Millisecond
+	// slowBeat is for books, limits, fences and gauges.
+	slowBeat = time.Second
+)
+
+func (n *Node) loops(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return n.every(ctx, deskBeat, n.deskTick) })
+	group.Go(func() error { return n.every(ctx, fleetBeat, n.fleet.tick) })
+	group.Go(func() error { return n.every(ctx, putBeat, n.directory.tick) })
+	group.Go(func() error { return n.every(ctx, slowBeat, n.slowTick) })
+	group.Go(func() error { return n.every(ctx, slowBeat, n.books.tick) })
+	group.Go(func() error { return n.every(ctx, slowBeat, n.homes.tick) })
+	group.Go(func() error { return n.every(ctx, slowBeat, n.configs.seed) })
+	group.Go(func() error { return n.configs.watch(ctx) })
+	group.Go(func() error { return n.configs.follow(ctx) })
+}
+
+// every calls a function at a beat until the context ends.
+func (n *Node) every(ctx context.Context, beat time.Duration, f func(ctx context.Context)) error {
+	ticker := n.config.Clock.NewTicker(beat)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) deskTick(context.Context) {
+	n.side.Do(func(t turn.Turn, d *desk.Desk) desk.Ops { return d.Tick(t) })
+}
+
+func (n *Node) slowTick(context.Context) {
+	queued, held := 0, 0
+	n.side.Look(func(t turn.Turn, d *desk.Desk) {
+		d.Expire(t)
+		held = d.Held()
+		for _, s := range d.Dump(t).Services {
+			queued += s.Queued
+		}
+	})
+	n.meter.Held.Update(float64(held))
+	n.meter.Queued.Update(float64(queued))
+	n.meter.Members.Update(float64(len(n.fleet.live())))
+}
+
+// stop hands over, drains and leaves. It returns when nothing is in flight, or
+// at the bound.
+func (n *Node) stop(ctx context.Context) {
+	events.Emit(n.log, events.NodeLeaving, "node", string(n.config.ID))
+	ctx, done := context.WithTimeout(ctx, n.config.DrainTimeout)
+	defer done()
+	n.state.Store(phaseHandingOver)
+	n.fleet.leave(ctx, false)
+	n.callers.SetKeepAlivesEnabled(false)
+	n.handOver(ctx)
+	n.state.Store(phaseDraining)
+	n.side.Do(func(_ turn.Turn, d *desk.Desk) desk.Ops {
+		d.Drain()
+		return desk.Ops{}
+	})
+	n.directory.tick(ctx)
+	_ = n.callers.Shutdown(ctx)
+	cut := !n.until(ctx, n.idle)
+	n.books.settle(ctx)
+	n.fleet.leave(ctx, true)
+	if cut {
+		n.reportCut()
+		return
+	}
+	events.Emit(n.log, events.NodeStopped, "node", string(n.config.ID))
+}
+
+// handOver waits until the backend servers have announced themselves to other
+// nodes. They hear that they should with their next renewal.
+func (n *Node) handOver(ctx context.Context) {
+	if len(n.fleet.working()) == 0 {
+		return
+	}
+	ctx, done := context.WithTimeout(ctx, handOverTime)
+	defer done()
+	n.until(ctx, func() bool {
+		left := 0
+		n.side.Look(func(_ turn.Turn, d *desk.Desk) { left = len(d.Servers()) })
+		return left == 0
+	})
+}
+
+// handOverTime covers one renewal of an announcement with room to spare.
+const handOverTime = 5 * time.Second
+
+func (n *Node) idle() bool {
+	held := 0
+	n.side.Look(func(_ turn.Turn, d *desk.Desk) { held = d.Held() })
+	return held == 0 && n.relayed.Load() == 0 && n.front.InFlight() == 0 && len(n.side.Running()) == 0
+}
+
+// until waits for a condition and reports whether it came before the context
+// ended.
+func (n *Node) until(ctx context.Context, condition func() bool) bool {
+	for !condition() {
+		select {
+		case <-n.config.Clock.After(deskBeat):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) reportCut() {
+	events.Emit(n.log, events.NodeCut,
+		"requests", n.front.InFlight(), "relayed", n.relayed.Load())
+	for id, server := range n.side.Running() {
+		events.Emit(n.log, events.NodeCut, "attempt", string(id), "backend-server", server, "outcome", "unknown")
+	}
+}
--- /dev/null
+++ b/internal/proxy/side/answer.go
@@ -0,0 +1,213 @@
+package side
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/policy/desk"
+	"github.com/figwick/figwick/internal/policy/fence"
+	"github.com/figwick/figwick/internal/policy/health"
+)
+
+const (
+	// stallLimit bounds how long a backend server may give no byte of a body
+	// that its caller wants to read.
+	stallLimit = 30 * time.Second
+
+	outcomeHeader = "Figwick-Outcome"
+	outcomeNotRun = "not-run"
+	retryAfter    = "Retry-After"
+)
+
+// errUnframed marks an answer whose end cannot be told from a lost connection.
+var errUnframed = errors.New("side: answer has neither length nor chunks")
+
+// kept is an answer that a fence can still fetch.
+type kept struct {
+	head     *wire.ResponseHead
+	body     []byte
+	trailers []*wire.Header
+	over     bool
+}
+
+// answer streams a response to the ingress.
+func (a *attempt) answer(ctx context.Context, r *http.Response) {
+	if unframed(r) {
+		a.finish(health.Failed, nil)
+		a.fail("answer", errUnframed)
+		return
+	}
+	if shed(r) {
+		a.server.Do(func(t turn.Turn, d *desk.Desk) desk.Ops { return d.Shed(t, a.id) })
+		a.refuse(wire.Reason_REASON_BUSY, "shed by the backend server")
+		return
+	}
+	delete(r.Header, outcomeHeader)
+	head := &wire.ResponseHead{
+		Status:        int32(r.StatusCode),
+		Headers:       wire.FromHeader(r.Header),
+		ContentLength: r.ContentLength,
+	}
+	for name := range r.Trailer {
+		head.TrailerNames = append(head.TrailerNames, name)
+	}
+	a.pass(wire.KindResponseHead, head)
+	k := &kept{head: head, over: a.head.Repeatable}
+	if err := a.copyBody(r, k); err != nil {
+		o := health.Failed
+		if errors.Is(context.Cause(ctx), errLost) {
+			o = health.Dropped
+		}
+		a.finish(o, nil)
+		a.fail("answer", err)
+		return
+	}
+	k.trailers = wire.FromHeader(r.Trailer)
+	a.finish(judge(r), k.answer())
+	a.pass(wire.KindEnd, &wire.End{Trailers: k.trailers, Load: a.load()})
+}
+
+// shed tells whether a backend server refused the request for load and vouches
+// that it did not run it.
+func shed(r *http.Response) bool {
+	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(outcomeHeader) == outcomeNotRun
+}
+
+// judge tells what a whole answer says of its backend server.
+func judge(r *http.Response) health.Outcome {
+	switch {
+	case r.StatusCode == http.StatusTooManyRequests:
+		return health.Shed
+	case r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(retryAfter) != "":
+		return health.Shed
+	case r.StatusCode == http.StatusNotImplemented, r.StatusCode < http.StatusInternalServerError:
+		return health.OK
+	default:
+		return health.Failed
+	}
+}
+
+// unframed tells whether the body would end where the connection does.
+func unframed(r *http.Response) bool {
+	bodiless := r.Request.Method == http.MethodHead || r.StatusCode == http.StatusNoContent ||
+		r.StatusCode == http.StatusNotModified
+	return !bodiless && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// copyBody passes the body on as it comes. The stall timer runs only while the
+// backend server is waited for, not while the caller is.
+func (a *attempt) copyBody(r *http.Response, k *kept) error {
+	if r.Body == http.NoBody {
+		return nil
+	}
+	for {
+		a.timer.Reset(stallLimit)
+		n, err := r.Body.Read(a.conn.BodyBuffer())
+		a.timer.Stop()
+		if n > 0 {
+			k.add(a.conn.BodyBuffer()[:n])
+			a.passBody(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "side: answer's body")
+		}
+		if a.gone.Load() && a.head.Repeatable {
+			return errLost
+		}
+	}
+}
+
+func (a *attempt) passBody(n int) {
+	if a.gone.Load() {
+		return
+	}
+	a.sending.Lock()
+	defer a.sending.Unlock()
+	if err := a.conn.SendBody(n); err != nil {
+		a.gone.Store(true)
+	}
+}
+
+// pass sends a frame unless the ingress is gone; an attempt that must not
+// repeat goes on without it.
+func (a *attempt) pass(kind wire.Kind, m proto.Message) {
+	if !a.gone.Load() {
+		_ = a.send(kind, m)
+	}
+}
+
+func (a *attempt) send(kind wire.Kind, m proto.Message) error {
+	a.sending.Lock()
+	defer a.sending.Unlock()
+	err := a.conn.Send(kind, m)
+	if err != nil {
+		a.gone.Store(true)
+	}
+	return err
+}
+
+func (a *attempt) refuse(reason wire.Reason, detail string) {
+	a.server.config.Meter.Refused.Inc(1)
+	a.pass(wire.KindRefusal, &wire.Refusal{Reason: reason, Detail: detail, Load: a.load()})
+}
+
+func (a *attempt) fail(step string, err error) {
+	a.pass(wire.KindFailure, &wire.Failure{Step: step, Detail: err.Error(), Load: a.load()})
+}
+
+func (a *attempt) load() *wire.Load {
+	s := a.server
+	load := &wire.Load{
+		ClockNs:   int64(s.config.Clock.Since(s.config.Started)),
+		ServiceUs: a.took.Microseconds(),
+	}
+	s.Look(func(t turn.Turn, d *desk.Desk) {
+		l := d.Load(t, a.service)
+		load.Slots = uint32(l.Slots)
+		load.Free = uint32(l.Free)
+		load.Queued = uint32(l.Queued)
+	})
+	return load
+}
+
+func (s *Server) track(id ident.Attempt, server string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.running[id] = server
+}
+
+func (s *Server) untrack(id ident.Attempt) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.running, id)
+}
+
+func (k *kept) add(p []byte) {
+	if k.over {
+		return
+	}
+	if len(k.body)+len(p) > fence.AnswerBytes {
+		k.over = true
+		k.body = nil
+		return
+	}
+	k.body = append(k.body, p...)
+}
+
+func (k *kept) answer() *fence.Answer {
+	if k.over {
+		return nil
+	}
+	return &fence.Answer{Value: k, Size: len(k.body)}
+}
--- /dev/null
+++ b/internal/proxy/side/server.go
@@ -0,0 +1,182 @@
+package side
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/meter"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/desk"
+	"github.com/figwick/figwick/internal/policy/health"
+)
+
+const (
+	connectTimeout  = time.Second
+	idleConnTimeout = 30 * time.Second
+	// onceIdleTimeout is the same for requests that must not repeat. A backend
+	// server that closes an idle connection just as it is reused leaves their
+	// outcome unknown; a new connection costs a millisecond.
+	onceIdleTimeout     = 500 * time.Millisecond
+	maxIdleConnsPerHost = 64
+	headerBytes         = 256 << 10
+)
+
+type (
+	// Config makes a Server.
+	Config struct {
+		Clock    clockwork.Clock
+		Random   turn.Source
+		Log      hclog.Logger
+		Meter    *meter.Meter
+		Desk     *desk.Desk
+		Instance ident.Instance
+		// Started is the origin of the readings in stamps.
+		Started time.Time
+		// Dial replaces the dialling of backend servers, in tests.
+		Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
+	// Server is one node's sidecar.
+	Server struct {
+		config    Config
+		transport *http.Transport
+		once      *http.Transport
+		mutex     sync.Mutex
+		waiting   map[ident.Attempt]chan verdict
+		fated     map[ident.Attempt][]chan struct{}
+		running   map[ident.Attempt]string
+	}
+
+	// verdict ends the waiting of one attempt.
+	verdict struct {
+		granted bool
+		server  string
+		id      ident.Backend
+		reason  desk.Reason
+	}
+)
+
+// NewServer returns a Server without backend servers.
+func NewServer(config Config) *Server {
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
+	}
+	config.Dial = counting(config.Dial)
+	return &Server{
+		config:    config,
+		transport: transport(config, idleConnTimeout),
+		once:      transport(config, onceIdleTimeout),
+		waiting:   map[ident.Attempt]chan verdict{},
+		fated:     map[ident.Attempt][]chan struct{}{},
+		running:   map[ident.Attempt]string{},
+	}
+}
+
+func transport(config Config, idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:            config.Dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idle,
+		ExpectContinueTimeout:  time.Second,
+		MaxResponseHeaderBytes: headerBytes,
+	}
+}
+
+func (s *Server) transportFor(repeatable bool) *http.Transport {
+	if repeatable {
+		return s.transport
+	}
+	return s.once
+}
+
+// Do passes one event to the Desk and carries out what follows.
+func (s *Server) Do(event func(t turn.Turn, d *desk.Desk) desk.Ops) {
+	s.mutex.Lock()
+	ops := event(s.turn(), s.config.Desk)
+	s.deliver(ops)
+	s.mutex.Unlock()
+	s.report(ops.Verdicts)
+}
+
+// Look reads from the Desk.
+func (s *Server) Look(look func(t turn.Turn, d *desk.Desk)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	look(s.turn(), s.config.Desk)
+}
+
+// Running returns the attempts in flight and their backend servers, to be
+// listed where a stop reaches its bound.
+func (s *Server) Running() map[ident.Attempt]string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	all := make(map[ident.Attempt]string, len(s.running))
+	for id, server := range s.running {
+		all[id] = server
+	}
+	return all
+}
+
+// Close ends the idle connections to backend servers.
+func (s *Server) Close() {
+	s.transport.CloseIdleConnections()
+	s.once.CloseIdleConnections()
+}
+
+func (s *Server) turn() turn.Turn {
+	return turn.Turn{Now: s.config.Clock.Now(), Random: s.config.Random}
+}
+
+// deliver wakes the attempts that waited. The mutex is held.
+func (s *Server) deliver(ops desk.Ops) {
+	for _, g := range ops.Grants {
+		s.wake(g.Attempt, verdict{granted: true, server: g.Server.Address, id: g.Server.ID})
+	}
+	for _, r := range ops.Refusals {
+		s.wake(r.Attempt, verdict{reason: r.Reason})
+	}
+}
+
+func (s *Server) wake(id ident.Attempt, v verdict) {
+	if c, found := s.waiting[id]; found {
+		delete(s.waiting, id)
+		c <- v
+	}
+}
+
+func (s *Server) report(verdicts []desk.Verdict) {
+	for _, v := range verdicts {
+		s.reportOne(v)
+	}
+}
+
+func (s *Server) reportOne(v desk.Verdict) {
+	fields := []any{"service", string(v.Service), "backend-server", string(v.Op.Server)}
+	switch v.Op.Action {
+	case health.Eject:
+		after := s.config.Clock.Since(v.Op.Onset)
+		fields = append(fields, "reason", string(v.Op.Reason), "evidence-for", after.String())
+		s.config.Meter.Detection.RecordDuration(after)
+		if v.Removed {
+			s.config.Meter.Ejections.Inc(1)
+			events.Emit(s.config.Log, events.BackendEjected, fields...)
+			return
+		}
+		s.config.Meter.Lasts.Inc(1)
+		events.Emit(s.config.Log, events.BackendLast, fields...)
+	case health.Try:
+		events.Emit(s.config.Log, events.BackendTrial, fields...)
+	case health.Return:
+		s.config.Meter.Returns.Inc(1)
+		events.Emit(s.config.Log, events.BackendReturned, fields...)
+	}
+}
--- /dev/null
+++ b/internal/state/config/check.go
@@ -0,0 +1,199 @@
+package config
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/figwick/figwick/internal/base/ident"
+)
+
+// The bounds of the file's values.
+const (
+	MaxSlots        = 1024
+	MaxDeadline     = time.Hour
+	MinDeadline     = 10 * time.Millisecond
+	MaxRequestBytes = 16 << 30
+	MaxQueueLength  = 1024
+	MaxHoldBound    = 24 * time.Hour
+	MaxAttempts     = 10
+	MaxFloor        = 100_000
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$`)
+	headerPattern = regexp.MustCompile(`^[A-Za-z0-9-]{1,64}$`)
+	idPattern     = regexp.MustCompile(`^[A-Za-z0-9._-]{0,127}\*?$`)
+
+	methods = []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+		http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	}
+)
+
+// checker gathers faults by path.
+type checker struct {
+	faults Faults
+}
+
+func (c *checker) add(path, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Path: path, Text: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) within(path string, value, low, high float64, unit string) {
+	if value < low || value > high {
+		c.add(path, "%v is outside %v to %v %s", value, low, high, unit)
+	}
+}
+
+func (c *checker) duration(path string, value, low, high time.Duration) {
+	if value < low || value > high {
+		c.add(path, "%v is outside %v to %v", value, low, high)
+	}
+}
+
+func check(file *File) Faults {
+	c := &checker{}
+	if file.Version != 1 {
+		c.add("$.version", "%d is not a known version; the known one is 1", file.Version)
+	}
+	if len(file.Services) == 0 {
+		c.add("$.services", "at least one service is needed")
+	}
+	names := map[ident.Service]int{}
+	hosts := map[string]ident.Service{}
+	for i := range file.Services {
+		s := &file.Services[i]
+		path := fmt.Sprintf("$.services[%d]", i)
+		if first, twice := names[s.Name]; twice {
+			c.add(path+".name", "%q is also the name of services[%d]", s.Name, first)
+		}
+		names[s.Name] = i
+		c.hosts(path, s, hosts)
+		c.service(path, s)
+	}
+	return c.faults
+}
+
+func (c *checker) hosts(path string, s *Service, taken map[string]ident.Service) {
+	if len(s.Hosts) == 0 {
+		c.add(path+".hosts", "at least one host is needed")
+	}
+	for i, host := range s.Hosts {
+		at := fmt.Sprintf("%s.hosts[%d]", path, i)
+		if !hostPattern.MatchString(host) {
+			c.add(at, "%q is not a host name in lower case without port", host)
+		}
+		if other, twice := taken[host]; twice {
+			c.add(at, "%q already belongs to service %q", host, other)
+		}
+		taken[host] = s.Name
+	}
+}
+
+func (c *checker) service(path string, s *Service) {
+	if !namePattern.MatchString(string(s.Name)) {
+		c.add(path+".name", "%q is not 1 to 63 of a-z, 0-9 and inner hyphens", s.Name)
+	}
+	c.within(path+".floor", float64(s.Floor), 1, MaxFloor, "backend servers")
+	c.within(path+".slots", float64(s.Slots), 1, MaxSlots, "requests")
+	c.duration(path+".deadline", s.Deadline, MinDeadline, MaxDeadline)
+	c.within(path+".max-request-bytes", float64(s.MaxRequestBytes), 1, MaxRequestBytes, "bytes")
+	c.within(path+".queue.length", float64(s.Queue.Length), 1, MaxQueueLength, "requests")
+	c.ejection(path+".ejection", &s.Ejection)
+	c.within(path+".retry.attempts", float64(s.Retry.Attempts), 1, MaxAttempts, "attempts")
+	c.within(path+".retry.budget-percent", s.Retry.BudgetPercent, 0, 100, "percent")
+	if s.Retry.Hedge != 0 {
+		c.duration(path+".retry.hedge-after", s.Retry.Hedge, time.Millisecond, s.Deadline)
+	}
+	c.routes(path, s.Routes)
+	c.allowed(path, s.BackendServers)
+	c.limits(path+".limits", &s.Limits)
+}
+
+func (c *checker) ejection(path string, e *Ejection) {
+	if e.Prefer != PreferDetection && e.Prefer != PreferPrecision {
+		c.add(path+".prefer", "%q is neither %q nor %q", e.Prefer, PreferDetection, PreferPrecision)
+	}
+	c.duration(path+".hold", e.Hold, time.Second, MaxHoldBound)
+	c.duration(path+".max-hold", e.MaxHold, e.Hold, MaxHoldBound)
+	c.duration(path+".cold-start", e.ColdStart, 0, MaxHoldBound)
+}
+
+func (c *checker) routes(path string, routes []Route) {
+	seen := map[string]int{}
+	for i := range routes {
+		r := &routes[i]
+		at := fmt.Sprintf("%s.routes[%d]", path, i)
+		if !strings.HasPrefix(r.Path, "/") {
+			c.add(at+".path", "%q does not start with /", r.Path)
+		}
+		if r.Deadline != 0 {
+			c.duration(at+".deadline", r.Deadline, MinDeadline, MaxDeadline)
+		}
+		for j, method := range r.Methods {
+			if !slices.Contains(methods, method) {
+				c.add(fmt.Sprintf("%s.methods[%d]", at, j), "%q is none of %s", method, strings.Join(methods, ", "))
+			}
+		}
+		for _, method := range methodsOf(r) {
+			key := method + " " + trimPath(r.Path)
+			if first, twice := seen[key]; twice && first != i {
+				c.add(at, "%s is already set by routes[%d]", key, first)
+				break
+			}
+			seen[key] = i
+		}
+	}
+}
+
+func (c *checker) allowed(path string, allowed []Allowed) {
+	if len(allowed) == 0 {
+		c.add(path+".backend-servers", "at least one entry is needed")
+	}
+	for i, a := range allowed {
+		at := fmt.Sprintf("%s.backend-servers[%d]", path, i)
+		if a.ID == "" && a.Addresses == "" {
+			c.add(at, "id, addresses or both are needed")
+		}
+		if !idPattern.MatchString(a.ID) {
+			c.add(at+".id", "%q is not up to 127 of A-Z, a-z, 0-9, dot, underscore, hyphen, with * only at the end", a.ID)
+		}
+		if a.Addresses == "" {
+			continue
+		}
+		if _, err := netip.ParsePrefix(a.Addresses); err != nil {
+			c.add(at+".addresses", "%q is not an IP range in CIDR form", a.Addresses)
+		}
+	}
+}
+
+func (c *checker) limits(path string, l *Limits) {
+	if l.CallerHeader != "" && !headerPattern.MatchString(l.CallerHeader) {
+		c.add(path+".caller-header", "%q is not a header name", l.CallerHeader)
+	}
+	c.limit(path+".default", l.Default.Rate, l.Default.Burst)
+	seen := map[ident.Caller]int{}
+	for i, caller := range l.Callers {
+		at := fmt.Sprintf("%s.callers[%d]", path, i)
+		if caller.ID == "" {
+			c.add(at+".id", "an id is needed")
+		}
+		if first, twice := seen[caller.ID]; twice {
+			c.add(at+".id", "%q is also callers[%d]", caller.ID, first)
+		}
+		seen[caller.ID] = i
+		c.limit(at, caller.Rate, caller.Burst)
+	}
+}
+
+func (c *checker) limit(path string, rate, burst float64) {
+	const most = 1e7
+	c.within(path+".rate", rate, 0, most, "requests a second")
+	c.within(path+".burst", burst, 0, most, "requests")
+}
