--- a/internal/fake/fleet/sockets.go
+++ b/internal/fake/fleet/sockets.go
@@ -73,3 +73,13 @@
 	c.sockets.mutex.Unlock()
 	return c.Conn.Close()
 }
+
+// CloseWrite ends the sending side only, as net/http does to let a caller read
+// an answer whose request it did not take whole.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return net.ErrClosed
+	}
+	return half.CloseWrite()
+}
