--- /dev/null
+++ b/internal/state/accept/accept_test.go
@@ -0,0 +1,350 @@
+package accept_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/fake/check"
+	"github.com/figwick/figwick/internal/fake/kvs"
+	"github.com/figwick/figwick/internal/state/accept"
+	"github.com/figwick/figwick/internal/state/config"
+	"github.com/figwick/figwick/internal/state/store"
+)
+
+// fault is what happens to one call.
+type fault int
+
+const (
+	none fault = iota
+	// refused calls have no effect and no answer.
+	refused
+	// lost replies hide an effect.
+	lost
+	// stale reads answer with an earlier version.
+	stale
+)
+
+// turnstile lets one call of several operators through at a time, in the order
+// and with the faults that a test draws.
+type turnstile struct {
+	*kvs.Store
+	operator int
+	arrived  chan call
+}
+
+// call is an operator's call that waits to be let through.
+type call struct {
+	operator int
+	gate     chan fault
+}
+
+func (s *turnstile) pass(effect func() error) error {
+	gate := make(chan fault)
+	s.arrived <- call{s.operator, gate}
+	f := <-gate
+	switch f {
+	case refused:
+		s.Inject(kvs.Faults{Down: true})
+	case lost:
+		s.Inject(kvs.Faults{LoseReplies: 1})
+	case stale:
+		s.Inject(kvs.Faults{Stale: 1})
+	}
+	err := effect()
+	s.Inject(kvs.Faults{})
+	gate <- f
+	return err
+}
+
+func (s *turnstile) Get(ctx context.Context, key string) (item store.Item, err error) {
+	err = s.pass(func() error {
+		item, err = s.Store.Get(ctx, key)
+		return err
+	})
+	return item, err
+}
+
+func (s *turnstile) CAS(ctx context.Context, key string, value []byte, version store.Version, lease store.Lease) (item store.Item, err error) {
+	err = s.pass(func() error {
+		item, err = s.Store.CAS(ctx, key, value, version, lease)
+		return err
+	})
+	return item, err
+}
+
+func (s *turnstile) Delete(ctx context.Context, key string, version store.Version) error {
+	return s.pass(func() error { return s.Store.Delete(ctx, key, version) })
+}
+
+func (s *turnstile) List(ctx context.Context, prefix string) (items []store.Item, err error) {
+	err = s.pass(func() error {
+		items, err = s.Store.List(ctx, prefix)
+		return err
+	})
+	return items, err
+}
+
+// instant does not wait between tries.
+type instant struct{}
+
+func (instant) After(time.Duration) <-chan time.Time {
+	c := make(chan time.Time, 1)
+	c <- time.Time{}
+	return c
+}
+
+func fileOf(services int, floor int) *config.File {
+	f := &config.File{Version: 1}
+	for i := range services {
+		f.Services = append(f.Services, config.Service{
+			Name: ident.Service(fmt.Sprintf("s%d", i)), Hosts: []string{fmt.Sprintf("s%d.test", i)}, Floor: floor,
+		})
+	}
+	return f
+}
+
+type outcome struct {
+	apply  ident.Apply
+	result accept.Result
+	err    error
+}
+
+// TestApplyTellsTheTruth races operators over a store that refuses calls, loses
+// replies and answers from the past. Whatever Apply says must be so in the end.
+func TestApplyTellsTheTruth(t *testing.T) {
+	check.Run(t, func(t *rapid.T) {
+		s := &turnstile{Store: kvs.New(clockwork.NewFakeClock()), arrived: make(chan call)}
+		history := map[ident.Apply]ident.Revision{}
+		highest := ident.Revision(0)
+		for range rapid.IntRange(1, 4).Draw(t, "rounds") {
+			operators := rapid.IntRange(1, 3).Draw(t, "operators")
+			done := make(chan outcome, operators)
+			for i := range operators {
+				file := fileOf(rapid.IntRange(1, 3).Draw(t, "services"), rapid.IntRange(1, 5).Draw(t, "floor"))
+				go func() {
+					own := &turnstile{Store: s.Store, operator: i, arrived: s.arrived}
+					a := accept.Acceptor{Store: own, Clock: instant{}}
+					apply := ident.NewApply()
+					result, err := a.Apply(context.Background(), accept.Request{File: file, Apply: apply, By: fmt.Sprint(i)})
+					done <- outcome{apply, result, err}
+				}()
+			}
+			outcomes := schedule(t, s, operators, done, func() {
+				head, found := headOf(t, s.Store)
+				if !found {
+					return
+				}
+				if head.Revision != highest && head.Revision != highest+1 {
+					t.Fatalf("revision went from %d to %d", highest, head.Revision)
+				}
+				highest = head.Revision
+				history[head.Apply] = head.Revision
+				chunksStand(t, s.Store, head)
+			})
+			for _, o := range outcomes {
+				judge(t, o, history)
+			}
+		}
+	})
+}
+
+// schedule lets calls through until all operators are done.
+func schedule(t *rapid.T, s *turnstile, operators int, done chan outcome, check func()) []outcome {
+	var outcomes []outcome
+	var calls []call
+	faults := 12
+	for len(outcomes) < operators {
+		for len(calls)+len(outcomes) < operators {
+			select {
+			case c := <-s.arrived:
+				calls = append(calls, c)
+			case o := <-done:
+				outcomes = append(outcomes, o)
+			}
+		}
+		if len(calls) == 0 {
+			continue
+		}
+		slices.SortFunc(calls, func(a, b call) int { return a.operator - b.operator })
+		at := rapid.IntRange(0, len(calls)-1).Draw(t, "next")
+		f := none
+		if faults > 0 {
+			f = fault(rapid.IntRange(0, int(stale)).Draw(t, "fault"))
+		}
+		if f != none {
+			faults--
+		}
+		gate := calls[at].gate
+		calls = append(calls[:at], calls[at+1:]...)
+		gate <- f
+		<-gate
+		check()
+	}
+	return outcomes
+}
+
+func judge(t *rapid.T, o outcome, history map[ident.Apply]ident.Revision) {
+	revision, accepted := history[o.apply]
+	switch o.result.State {
+	case accept.Accepted, accept.Superseded:
+		if !accepted || revision != o.result.Revision {
+			t.Fatalf("%s as %d, but the store had it as %d (%v)", o.result.State, o.result.Revision, revision, accepted)
+		}
+	case accept.Conflicting:
+		if accepted {
+			t.Fatalf("conflict, but the store had it as %d", revision)
+		}
+	default:
+		t.Fatalf("%s: %v", o.result.State, o.err)
+	}
+}
+
+func headOf(t *rapid.T, s *kvs.Store) (accept.Head, bool) {
+	item, err := s.Get(context.Background(), accept.HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return accept.Head{}, false
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, err := accept.ParseHead(item.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return head, true
+}
+
+// chunksStand holds the store to what the head names: nothing it needs is ever
+// cleaned away.
+func chunksStand(t *rapid.T, s *kvs.Store, head accept.Head) {
+	for _, name := range head.Chunks {
+		item, err := s.Get(context.Background(), accept.ChunkKey(name))
+		if err != nil || !accept.Verify(name, item.Value) {
+			t.Fatalf("revision %d lacks chunk %s: %v", head.Revision, name, err)
+		}
+	}
+}
+
+// TestAdopterOnlyGrows offers a node heads in any order.
+func TestAdopterOnlyGrows(t *testing.T) {
+	s := kvs.New(clockwork.NewFakeClock())
+	a := accept.Acceptor{Store: s, Clock: instant{}}
+	var heads [][]byte
+	chunks := map[string][]byte{}
+	for i := range 6 {
+		_, err := a.Apply(t.Context(), accept.Request{File: fileOf(3, i+1), Apply: ident.NewApply()})
+		assert.NilError(t, err)
+		item, err := s.Get(t.Context(), accept.HeadKey)
+		assert.NilError(t, err)
+		heads = append(heads, item.Value)
+		head, err := accept.ParseHead(item.Value)
+		assert.NilError(t, err)
+		for _, name := range head.Chunks {
+			chunk, err := s.Get(t.Context(), accept.ChunkKey(name))
+			assert.NilError(t, err)
+			chunks[name] = chunk.Value
+		}
+	}
+	check.Run(t, func(t *rapid.T) {
+		node := &accept.Adopter{}
+		for range 12 {
+			at := rapid.IntRange(0, len(heads)-1).Draw(t, "head")
+			broken := rapid.Bool().Draw(t, "broken")
+			before := node.Revision()
+			next, table, err := node.Offer(context.Background(), heads[at], func(_ context.Context, names []string) (map[string][]byte, error) {
+				found := map[string][]byte{}
+				for _, name := range names {
+					found[name] = chunks[name]
+					if broken {
+						found[name] = []byte("[]")
+					}
+				}
+				return found, nil
+			})
+			if err != nil {
+				continue
+			}
+			node = next
+			if node.Revision() <= before || table.Revision != node.Revision() {
+				t.Fatalf("went from %d to %d", before, node.Revision())
+			}
+			if table.File.Services[0].Floor != int(table.Revision) {
+				t.Fatalf("revision %d has the content of another", table.Revision)
+			}
+		}
+	})
+}
+
+// TestChunksAtTheTargetSize proves that the target's configuration fits the
+// store, and that a small change writes little.
+func TestChunksAtTheTargetSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("large")
+	}
+	file := targetFile(790, 27, 53_000)
+	s := kvs.New(clockwork.NewFakeClock())
+	a := accept.Acceptor{Store: s, Clock: instant{}}
+	_, err := a.Apply(t.Context(), accept.Request{File: file, Apply: ident.NewApply()})
+	assert.NilError(t, err)
+	before := s.Counts().Writes
+	file.Services[5].Floor++
+	result, err := a.Apply(t.Context(), accept.Request{File: file, Apply: ident.NewApply()})
+	assert.NilError(t, err)
+	assert.Equal(t, result.State, accept.Accepted)
+	assert.Equal(t, s.Counts().Writes-before, 3, "one chunk, the head, one old chunk deleted")
+	assert.NilError(t, roundTrip(t, s, file))
+}
+
+// targetFile is a configuration of services with routes, and organisations.
+func targetFile(services, routes, organisations int) *config.File {
+	f := fileOf(services, 3)
+	for i := range f.Services {
+		for j := range routes {
+			f.Services[i].Routes = append(f.Services[i].Routes, config.Route{Path: fmt.Sprintf("/route-%d", j)})
+		}
+	}
+	for i := range organisations {
+		l := &f.Services[i%services].Limits
+		l.Callers = append(l.Callers, config.CallerLimit{ID: ident.Caller(fmt.Sprintf("organisation-%06d", i)), Rate: 10, Burst: 20})
+	}
+	return f
+}
+
+func roundTrip(t *testing.T, s *kvs.Store, file *config.File) error {
+	item, err := s.Get(t.Context(), accept.HeadKey)
+	if err != nil {
+		return err
+	}
+	_, table, err := (&accept.Adopter{}).Offer(t.Context(), item.Value, func(ctx context.Context, names []string) (map[string][]byte, error) {
+		found := map[string][]byte{}
+		for _, name := range names {
+			chunk, err := s.Get(ctx, accept.ChunkKey(name))
+			if err != nil {
+				return nil, err
+			}
+			found[name] = chunk.Value
+		}
+		return found, nil
+	})
+	if err != nil {
+		return err
+	}
+	want, got := 0, 0
+	for i := range file.Services {
+		want += len(file.Services[i].Limits.Callers) + len(file.Services[i].Routes)
+		got += len(table.File.Services[i].Limits.Callers) + len(table.File.Services[i].Routes)
+	}
+	if want != got || len(file.Services) != len(table.File.Services) {
+		return errors.Newf("%d records became %d", want, got)
+	}
+	return nil
+}
--- a/internal/state/accept/apply.go
+++ b/internal/state/accept/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -182,9 +183,9 @@
 }
 
 func (a *Acceptor) writeChunks(ctx context.Context, missing map[string][]byte) error {
-	for name, text := range missing {
+	for _, name := range slices.Sorted(maps.Keys(missing)) {
 		err := a.persist(ctx, func() error {
-			_, err := a.Store.CAS(ctx, chunkPrefix+name, text, 0, 0)
+			_, err := a.Store.CAS(ctx, chunkPrefix+name, missing[name], 0, 0)
 			if errors.Is(err, store.ErrConflict) {
 				return nil
 			}
