--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -37,6 +37,7 @@
 	pollEvery     = 10 * time.Millisecond
 	adminTimeout  = 30 * time.Second
 	versionString = "fleet"
+	anyPort       = "127.0.0.1:0"
 )
 
 type (
@@ -101,7 +102,7 @@
 // Add starts one more node, which joins the first.
 func (f *Fleet) Add(ctx context.Context) (*Member, error) {
 	at := len(f.Nodes)
-	m, err := f.start(ctx, at, "127.0.0.1:0")
+	m, err := f.start(ctx, at, &Member{Callers: anyPort, Peers: anyPort, Backends: anyPort, Admin: anyPort})
 	if err != nil {
 		return nil, err
 	}
@@ -109,10 +110,10 @@
 	return m, nil
 }
 
-// Replace starts a node anew in the place, and at the peer address, of one that
-// has ended.
+// Replace starts a node anew in the place, and at the addresses, of one that has
+// ended.
 func (f *Fleet) Replace(ctx context.Context, at int) error {
-	m, err := f.start(ctx, at, f.Nodes[at].Peers)
+	m, err := f.start(ctx, at, f.Nodes[at])
 	if err != nil {
 		return err
 	}
@@ -120,14 +121,14 @@
 	return nil
 }
 
-func (f *Fleet) start(ctx context.Context, at int, peers string) (*Member, error) {
+func (f *Fleet) start(ctx context.Context, at int, like *Member) (*Member, error) {
 	m := &Member{
 		ID:      ident.Node(fmt.Sprintf("node-%d", at+1)),
 		Zone:    ident.Zone(fmt.Sprintf("zone-%c", 'a'+rune(at%f.config.Zones))),
 		done:    make(chan struct{}),
 		sockets: &sockets{},
 	}
-	listeners, err := m.listen(peers)
+	listeners, err := m.listen(like)
 	if err != nil {
 		return nil, err
 	}
@@ -169,17 +170,17 @@
 	return nil
 }
 
-func (m *Member) listen(peers string) (node.Listeners, error) {
+func (m *Member) listen(like *Member) (node.Listeners, error) {
 	var l node.Listeners
 	for _, socket := range []struct {
 		listener *net.Listener
 		text     *string
 		address  string
 	}{
-		{&l.Callers, &m.Callers, "127.0.0.1:0"},
-		{&l.Peers, &m.Peers, peers},
-		{&l.Backends, &m.Backends, "127.0.0.1:0"},
-		{&l.Admin, &m.Admin, "127.0.0.1:0"},
+		{&l.Callers, &m.Callers, like.Callers},
+		{&l.Peers, &m.Peers, like.Peers},
+		{&l.Backends, &m.Backends, like.Backends},
+		{&l.Admin, &m.Admin, like.Admin},
 	} {
 		listener, err := net.Listen("tcp", socket.address)
 		if err != nil {
--- a/internal/fake/fleet/sockets.go
+++ b/internal/fake/fleet/sockets.go
@@ -34,7 +34,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.isCut {
-		_ = c.Close()
+		closeRaw(c)
 		return
 	}
 	if s.open == nil {
@@ -48,13 +48,18 @@
 	defer s.mutex.Unlock()
 	s.isCut = true
 	for c := range s.open {
-		if wrapped, ok := c.(*conn); ok {
-			c = wrapped.Conn
-		}
-		_ = c.Close()
+		closeRaw(c)
 	}
 }
 
+// closeRaw closes what is below a conn, whose own Close takes the mutex.
+func closeRaw(c interface{ Close() error }) {
+	if wrapped, ok := c.(*conn); ok {
+		c = wrapped.Conn
+	}
+	_ = c.Close()
+}
+
 // Accept returns a connection that is cut with the others.
 func (l *listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -153,6 +153,15 @@
 	}
 }
 
+// Cancel ends the exchange and wakes whoever receives from it or sends to it.
+// Closing alone would leave them waiting for the peer.
+func (s *Stream) Cancel() {
+	if limited, ok := s.Conn.Stream().(interface{ SetDeadline(t time.Time) error }); ok {
+		_ = limited.SetDeadline(time.Unix(1, 0))
+	}
+	go func() { _ = s.Close() }()
+}
+
 // Close ends the exchange. The Conn is released by who has stopped to use it.
 func (s *Stream) Close() error {
 	return s.Conn.Stream().Close()
--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -86,12 +86,6 @@
 		Verdicts []Verdict
 	}
 
-	// Others is what a sidecar knows of a service behind the other sidecars.
-	Others struct {
-		Alive     int
-		InService int
-	}
-
 	// Desk is one sidecar's decision state. It is not safe for concurrent use.
 	Desk struct {
 		node     ident.Node
@@ -109,7 +103,7 @@
 		line    queue.Line
 		tracker *health.Tracker
 		holder  floor.Holder
-		others  Others
+		others  []floor.Seen
 		floor   int
 		servers map[ident.Backend]*standing
 	}
--- a/internal/policy/desk/dump.go
+++ b/internal/policy/desk/dump.go
@@ -5,6 +5,7 @@
 
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/floor"
 	"github.com/figwick/figwick/internal/policy/health"
 	"github.com/figwick/figwick/internal/state/index"
 	"github.com/figwick/figwick/internal/state/roster"
@@ -37,7 +38,7 @@
 		Mean    string          `json:"mean-service-time"`
 		Tokens  int             `json:"floor-tokens"`
 		Spent   []ident.Backend `json:"floor-tokens-spent"`
-		Others  Others          `json:"others"`
+		Others  []floor.Seen    `json:"others"`
 		Servers []ServerReport  `json:"backend-servers"`
 	}
 
--- a/internal/policy/desk/servers.go
+++ b/internal/policy/desk/servers.go
@@ -79,9 +79,9 @@
 }
 
 // SetOthers tells what a service has behind other sidecars.
-func (d *Desk) SetOthers(name ident.Service, o Others) {
+func (d *Desk) SetOthers(name ident.Service, others []floor.Seen) {
 	if s, found := d.services[name]; found {
-		s.others = o
+		s.others = others
 	}
 }
 
@@ -105,7 +105,6 @@
 	}
 	known.Announcement = a
 	s.servers[a.ID] = known
-	s.holder.Backends(s.counted())
 	d.place(t, s, known, ops)
 }
 
@@ -153,6 +152,7 @@
 // place brings the line in step with where a server stands.
 func (d *Desk) place(t turn.Turn, s *service, v *standing, ops *Ops) {
 	v.allowed = d.allows(s.name, v.Announcement)
+	s.holder.Backends(s.counted())
 	slots := v.Slots
 	if e := d.table.Service(s.name); e != nil {
 		slots = min(slots, e.Slots)
@@ -263,39 +263,35 @@
 
 // view joins what stands here with what is known of the others.
 func (s *service) view() floor.View {
-	alive, inService := s.own()
-	return floor.View{
-		Alive:     alive + s.others.Alive,
-		InService: inService + s.others.InService,
-		Floor:     s.floor,
-	}
+	return floor.View{Others: s.others, InService: s.inService(), Floor: s.floor}
 }
 
-// own counts the servers here that live, and those of them that take work.
-func (s *service) own() (alive, inService int) {
+// inService counts the servers here that take work.
+func (s *service) inService() int {
+	n := 0
 	for _, v := range s.servers {
-		if !v.allowed || v.State != roster.Serving {
-			continue
-		}
-		alive++
-		if !v.removed {
-			inService++
+		if v.counts() && !v.removed {
+			n++
 		}
 	}
-	return alive, inService
+	return n
 }
 
 // counted returns the servers that count for the budget.
 func (s *service) counted() []ident.Backend {
 	var ids []ident.Backend
 	for id, v := range s.servers {
-		if v.State == roster.Serving {
+		if v.counts() {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+func (v *standing) counts() bool {
+	return v.allowed && v.State == roster.Serving
+}
+
 func (s *service) ids() []ident.Backend {
 	ids := make([]ident.Backend, 0, len(s.servers))
 	for id := range s.servers {
--- /dev/null
+++ b/internal/policy/fence/fence_test.go
@@ -0,0 +1,103 @@
+package fence_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/figwick/figwick/internal/policy/fence"
+)
+
+var (
+	now    = time.Unix(1_000_000, 0)
+	before = now.Add(5 * time.Second)
+)
+
+func TestFates(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		run  func(t *testing.T, f *fence.Table)
+	}{
+		{"a fence ahead of the attempt stops it", func(t *testing.T, f *fence.Table) {
+			fate, _ := f.Fence(now, "a", before)
+			assert.Equal(t, fate, fence.NotStarted)
+			assert.Equal(t, f.Admit(now, "a", before), fence.Fenced)
+		}},
+		{"a fence stops a waiting attempt", func(t *testing.T, f *fence.Table) {
+			assert.Equal(t, f.Admit(now, "a", before), fence.Admitted)
+			fate, _ := f.Fence(now, "a", before)
+			assert.Equal(t, fate, fence.NotStarted)
+			assert.Equal(t, f.Start(now, "a"), fence.Fenced)
+		}},
+		{"a started attempt is told as running", func(t *testing.T, f *fence.Table) {
+			f.Admit(now, "a", before)
+			assert.Equal(t, f.Start(now, "a"), fence.Started)
+			fate, _ := f.Fence(now, "a", before)
+			assert.Equal(t, fate, fence.Running)
+		}},
+		{"an attempt starts once", func(t *testing.T, f *fence.Table) {
+			f.Admit(now, "a", before)
+			assert.Equal(t, f.Start(now, "a"), fence.Started)
+			assert.Equal(t, f.Start(now, "a"), fence.Duplicate)
+			assert.Equal(t, f.Admit(now, "a", before), fence.Duplicate)
+		}},
+		{"a paused sidecar starts nothing late", func(t *testing.T, f *fence.Table) {
+			f.Admit(now, "a", before)
+			assert.Equal(t, f.Start(before, "a"), fence.Late)
+			fate, _ := f.Fence(before, "a", before)
+			assert.Equal(t, fate, fence.NotStarted)
+		}},
+		{"an attempt that arrives late is not admitted", func(t *testing.T, f *fence.Table) {
+			assert.Equal(t, f.Admit(before, "a", before), fence.Late)
+		}},
+		{"an answer is kept until it is released", func(t *testing.T, f *fence.Table) {
+			f.Admit(now, "a", before)
+			f.Start(now, "a")
+			f.Finish(now, "a", &fence.Answer{Value: "whole", Size: 5})
+			fate, answer := f.Fence(now, "a", before)
+			assert.Equal(t, fate, fence.Answered)
+			assert.Equal(t, answer.Value, "whole")
+			f.Release("a")
+			assert.Equal(t, f.Bytes(), 0)
+			fate, answer = f.Fence(now, "a", before)
+			assert.Equal(t, fate, fence.Answered)
+			assert.Check(t, answer == nil)
+		}},
+		{"a start that wrote nothing is taken back", func(t *testing.T, f *fence.Table) {
+			f.Admit(now, "a", before)
+			f.Start(now, "a")
+			f.Unstart("a")
+			fate, _ := f.Fence(now, "a", before)
+			assert.Equal(t, fate, fence.NotStarted)
+		}},
+		{"a started attempt outlives its tombstone's need", func(t *testing.T, f *fence.Table) {
+			f.Admit(now, "a", before)
+			f.Start(now, "a")
+			f.Finish(now, "a", nil)
+			f.Expire(before.Add(fence.Keep - time.Second))
+			fate, _ := f.Fence(before.Add(fence.Keep-time.Second), "a", before)
+			assert.Equal(t, fate, fence.Answered)
+		}},
+		{"what is forgotten is not told as not run", func(t *testing.T, f *fence.Table) {
+			f.Admit(now, "a", before)
+			f.Start(now, "a")
+			f.Finish(now, "a", nil)
+			late := before.Add(2 * fence.Keep)
+			f.Expire(late)
+			assert.Equal(t, f.Len(), 0)
+			fate, _ := f.Fence(late, "a", before)
+			assert.Equal(t, fate, fence.Forgotten)
+		}},
+		{"a running attempt is never forgotten", func(t *testing.T, f *fence.Table) {
+			f.Admit(now, "a", before)
+			f.Start(now, "a")
+			late := before.Add(time.Hour)
+			f.Expire(late)
+			fate, _ := f.Fence(late, "a", before)
+			assert.Equal(t, fate, fence.Running)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) { c.run(t, &fence.Table{}) })
+	}
+}
--- a/internal/policy/floor/doc.go
+++ b/internal/policy/floor/doc.go
@@ -12,6 +12,10 @@
 //	if holder.Spend(now, server, inService) { … eject … }
 //	holder.Refund(server)             // when it returns, leaves or dies
 //
+// Tokens rest on servers that were there when they were granted. A node uses
+// fewer of them once it knows that servers have gone: Spend compares the Book
+// that its tokens rest on with what is heard of each node now.
+//
 // A token is good for a Lease, counted by the holder from before it sent the
 // write that granted or renewed it. Another node may strike out an entry only
 // after it has watched it unchanged for the Lease plus a margin, by its own
--- a/internal/policy/floor/floor_test.go
+++ b/internal/policy/floor/floor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,16 +18,27 @@
 // directory's records.
 const fresh = 15 * time.Second
 
+var epoch = time.Unix(1_000_000, 0)
+
 // world is several nodes' holders over one Book, with messages under the
 // control of an adversary.
 type world struct {
 	t       *rapid.T
+	dice    *check.Dice
 	now     time.Time
 	floor   int
 	book    floor.Book
 	version int
 	nodes   []*actor
 	away    bool
+	// ejections counts, so that the test can tell that it tested something.
+	ejections int
+	trace     []string
+}
+
+// note keeps what happened, to be read where the floor breaks.
+func (w *world) note(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf("%s ", w.now.Sub(epoch))+fmt.Sprintf(format, args...))
 }
 
 // actor is one node: its holder, its servers and what it has heard of others.
@@ -53,20 +65,20 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: time.Unix(1_000_000, 0)}
-	nodes := rapid.IntRange(2, 5).Draw(t, "nodes")
+	w := &world{t: t, dice: check.NewDice(t), now: epoch}
+	nodes := w.dice.Between(2, 5)
 	total := 0
 	for i := range nodes {
 		n := &actor{id: ident.Node(fmt.Sprintf("n%d", i))}
 		n.reset(1)
-		for j := range rapid.IntRange(1, 4).Draw(t, "servers") {
+		for j := range w.dice.Between(1, 4) {
 			n.alive[ident.Backend(fmt.Sprintf("n%d-%d", i, j))] = true
 			total++
 		}
 		n.tell()
 		w.nodes = append(w.nodes, n)
 	}
-	w.floor = rapid.IntRange(1, total).Draw(t, "floor")
+	w.floor = max(1, total-w.dice.Between(0, 3))
 	return w
 }
 
@@ -99,36 +111,40 @@
 // view is what a node knows: its own servers and fresh word of the others'.
 func (w *world) view(n *actor) floor.View {
 	v := floor.View{Floor: w.floor}
-	v.Alive, v.InService = n.counts()
-	for _, heard := range n.heard {
-		if w.now.Sub(heard.at) < fresh {
-			v.Alive += heard.alive
-			v.InService += heard.inService
+	_, v.InService = n.counts()
+	for i, other := range w.nodes {
+		heard, known := n.heard[i]
+		if known && w.now.Sub(heard.at) < fresh {
+			v.Others = append(v.Others, floor.Seen{Node: other.id, Alive: heard.alive, InService: heard.inService})
 		}
 	}
 	return v
 }
 
-func (w *world) draw(what string) *actor {
-	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, what)]
+func (w *world) any() *actor {
+	return w.nodes[w.dice.Upto(len(w.nodes))]
 }
 
 func (w *world) step() {
-	n := w.draw("node")
-	switch rapid.IntRange(0, 10).Draw(w.t, "step") {
-	case 0, 1:
+	n := w.any()
+	switch w.dice.Upto(20) {
+	case 0, 1, 2, 3:
 		w.read(n)
-	case 2, 3:
+	case 4, 5, 6, 7:
 		w.deliver(n)
-	case 4, 5, 6:
+	case 8, 9, 10, 11:
 		w.eject(n)
-	case 7:
+	case 12:
 		w.restore(n)
-	case 8:
-		w.hear(n)
-	case 9:
+	case 13, 14:
+		w.hear(n, w.dice.Upto(len(w.nodes)))
+	case 15, 16:
+		for i := range w.nodes {
+			w.hear(n, i)
+		}
+	case 17:
 		w.harm(n)
-	case 10:
+	default:
 		w.pass()
 	}
 	w.enforce()
@@ -142,6 +158,7 @@
 	book := w.book.Clone()
 	n.holder.Write(w.now, w.floor, nil, &book)
 	n.write = &write{book: book, version: w.version}
+	w.note("%s writes %+v over %d", n.id, book, w.version)
 }
 
 // deliver lets a write arrive; its reply may be lost.
@@ -156,10 +173,12 @@
 		w.book = sent.book
 		w.version++
 	}
+	w.note("%s: accepted %v, away %v, dead %v", n.id, accepted, w.away, n.dead)
 	if n.dead {
 		return
 	}
-	if w.away || rapid.IntRange(0, 3).Draw(w.t, "lost") == 0 {
+	if w.away || w.dice.Upto(4) == 0 {
+		w.note("%s: reply lost", n.id)
 		n.holder.Lost()
 		return
 	}
@@ -172,22 +191,24 @@
 	if n.dead {
 		return
 	}
-	id, found := pick(w.t, n.alive, func(id ident.Backend) bool { return !n.removed[id] })
+	id, found := pick(w.dice, n.alive, func(id ident.Backend) bool { return !n.removed[id] })
 	if !found || !n.holder.Spend(w.now, id, w.view(n)) {
 		return
 	}
 	n.removed[id] = true
+	w.ejections++
+	w.note("%s ejects %s with view %+v, tokens %d", n.id, id, w.view(n), n.holder.Tokens(w.now))
 	left, unheard := 0, 0
 	for i, other := range w.nodes {
+		unheard += w.unheard(n, i, other)
 		_, inService := other.counts()
-		if other.dead {
-			continue
+		if !other.dead {
+			left += inService
 		}
-		left += inService
-		unheard += w.unheard(n, i, other)
 	}
 	if left+unheard < w.floor {
-		w.t.Fatalf("%d in service, floor %d, %d losses were news", left, w.floor, unheard)
+		w.t.Fatalf("%d in service, floor %d, %d losses were news\n%s",
+			left, w.floor, unheard, strings.Join(w.trace, "\n"))
 	}
 }
 
@@ -203,33 +224,35 @@
 }
 
 func (w *world) restore(n *actor) {
-	id, found := pick(w.t, n.alive, func(id ident.Backend) bool { return n.removed[id] })
+	id, found := pick(w.dice, n.alive, func(id ident.Backend) bool { return n.removed[id] })
 	if !found || n.dead {
 		return
 	}
+	w.note("%s returns %s", n.id, id)
 	delete(n.removed, id)
 	n.holder.Refund(id)
 }
 
 // hear lets a node hear how another stands now, unless it is dead.
-func (w *world) hear(n *actor) {
-	i := rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, "from")
+func (w *world) hear(n *actor, i int) {
 	from := w.nodes[i]
 	if from == n || from.dead || n.dead {
 		return
 	}
 	alive, inService := from.counts()
+	w.note("%s hears %s: %d, %d", n.id, from.id, alive, inService)
 	n.heard[i] = word{at: w.now, alive: alive, inService: inService}
 }
 
 // harm does what happens to nodes and servers.
 func (w *world) harm(n *actor) {
-	switch rapid.IntRange(0, 3).Draw(w.t, "harm") {
+	switch w.dice.Upto(5) {
 	case 0:
-		id, found := pick(w.t, n.alive, func(ident.Backend) bool { return true })
+		id, found := pick(w.dice, n.alive, func(ident.Backend) bool { return true })
 		if !found || n.dead {
 			return
 		}
+		w.note("%s dies", id)
 		delete(n.alive, id)
 		delete(n.removed, id)
 		n.holder.Refund(id)
@@ -239,13 +262,15 @@
 	case 2:
 		w.crash(n)
 	case 3:
+		w.now = w.now.Add(floor.Lease / 2)
+	case 4:
 		w.now = w.now.Add(floor.Lease + time.Minute)
 	}
 }
 
 // crash ends a node; its servers come to another, in service again.
 func (w *world) crash(n *actor) {
-	to := w.draw("heir")
+	to := w.any()
 	if n.dead || to == n || to.dead {
 		return
 	}
@@ -253,12 +278,13 @@
 		to.alive[id] = true
 	}
 	to.tell()
+	w.note("%s crashes, its servers go to %s", n.id, to.id)
 	n.reset(2)
 	n.dead = true
 }
 
 func (w *world) pass() {
-	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(w.t, "seconds")) * time.Second)
+	w.now = w.now.Add(time.Duration(w.dice.Between(1, 20)) * time.Second)
 }
 
 // enforce ends the ejections that are no longer covered, as a node does with
@@ -271,7 +297,7 @@
 	}
 }
 
-func pick(t *rapid.T, ids map[ident.Backend]bool, suits func(ident.Backend) bool) (ident.Backend, bool) {
+func pick(d *check.Dice, ids map[ident.Backend]bool, suits func(ident.Backend) bool) (ident.Backend, bool) {
 	var list []ident.Backend
 	for id := range ids {
 		if suits(id) {
@@ -282,7 +308,7 @@
 		return "", false
 	}
 	sortIDs(list)
-	return list[rapid.IntRange(0, len(list)-1).Draw(t, "server")], true
+	return list[d.Upto(len(list))], true
 }
 
 func sortIDs(list []ident.Backend) {
@@ -296,12 +322,15 @@
 // TestFloorHolds lets an adversary order reads, writes, lost replies, outages,
 // crashes, leaps of time and stale views of several nodes.
 func TestFloorHolds(t *testing.T) {
+	ejections := 0
 	check.Run(t, func(t *rapid.T) {
 		w := newWorld(t)
-		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+		for range w.dice.Between(50, 300) {
 			w.step()
 		}
+		ejections += w.ejections
 	})
+	assert.Check(t, ejections > 100, "only %d ejections", ejections)
 }
 
 // TestTokensComeBack takes away the node that holds all tokens: another gets
@@ -348,7 +377,7 @@
 	h.Backends([]ident.Backend{"a1", "a2"})
 	h.Write(now, 1, nil, &book)
 	h.Wrote(true)
-	view := floor.View{Alive: 2, InService: 2, Floor: 1}
+	view := floor.View{InService: 2, Floor: 1}
 	assert.Check(t, h.Spend(now, "a1", view))
 	now = now.Add(floor.Lease)
 	assert.DeepEqual(t, h.Void(now), []ident.Backend{"a1"})
--- a/internal/policy/floor/holder.go
+++ b/internal/policy/floor/holder.go
@@ -39,30 +39,38 @@
 		spent    []ident.Backend
 		written  Entry
 		known    bool
-		// counted and floor are what the Book held when tokens were granted.
-		counted int
-		floor   int
-		watch   Watch
-		pending *pending
+		watch    Watch
+		pending  *pending
+		// bases are the Books that the tokens may rest on: the one of the last
+		// accepted write, and those of writes since whose reply was lost.
+		bases []Book
 	}
 
+	// pending is a write on its way.
 	pending struct {
-		entry   Entry
-		sent    time.Time
-		counted int
-		floor   int
+		entry Entry
+		sent  time.Time
+		book  Book
 	}
 
 	// View is what a node knows of a service when it wants to eject.
 	View struct {
-		// Alive is the backend servers that were heard of lately, over all
-		// nodes, whether they take work or not.
-		Alive int
-		// InService is those of them that take work, the one to be ejected
+		// Others are the other nodes that were heard of lately.
+		Others []Seen
+		// InService is the servers that take work here, the one to be ejected
 		// included.
 		InService int
 		Floor     int
 	}
+
+	// Seen is a service's servers behind another node.
+	Seen struct {
+		Node ident.Node `json:"node"`
+		// Alive servers were heard of lately, whether they take work or not.
+		Alive int `json:"alive"`
+		// InService are those of them that take work.
+		InService int `json:"in-service"`
+	}
 )
 
 // Backends tells which backend servers of the service are announced here.
@@ -117,7 +125,7 @@
 	e := Entry{Node: h.Node, Instance: h.Instance, Backends: h.backends, Tokens: h.goal(), Round: h.round}
 	keep := min(len(h.spent), h.valid(now))
 	e = b.Set(e, keep)
-	h.pending = &pending{entry: e, sent: now, counted: b.Backends(), floor: floor}
+	h.pending = &pending{entry: e, sent: now, book: b.Clone()}
 	h.askAt = now.Add(askEvery)
 	h.nextAsk = h.askAt
 	return e
@@ -133,8 +141,7 @@
 	h.written = p.entry
 	h.known = true
 	h.tokens = p.entry.Tokens
-	h.counted = p.counted
-	h.floor = p.floor
+	h.bases = []Book{p.book}
 	h.goodTill = p.sent.Add(Lease)
 	h.renewAt = p.sent.Add(renewEvery)
 	h.denied++
@@ -151,6 +158,7 @@
 		return
 	}
 	h.tokens = min(h.tokens, h.pending.entry.Tokens)
+	h.bases = append(h.bases, h.pending.book)
 	h.pending = nil
 	h.known = false
 }
@@ -161,7 +169,7 @@
 	if slices.Contains(h.spent, id) {
 		return true
 	}
-	if len(h.spent) >= h.usable(now, v) || v.InService-1 < v.Floor {
+	if len(h.spent) >= h.usable(now, v) || v.inService()-1 < v.Floor {
 		return false
 	}
 	h.spent = append(h.spent, id)
@@ -210,13 +218,63 @@
 	return h.tokens
 }
 
-// usable is the valid tokens less what the service has lost since they were
-// granted: each node takes the whole loss upon itself, since it cannot know
-// that another does.
+// usable is the valid tokens less what they can no longer stand for: servers
+// that have gone since they were granted, and a floor that has been raised.
 func (h *Holder) usable(now time.Time, v View) int {
-	missing := max(0, h.counted-v.Alive)
-	raised := max(0, v.Floor-h.floor)
-	return h.valid(now) - missing - raised
+	lost := 0
+	for i := range h.bases {
+		lost = max(lost, h.lostSince(&h.bases[i], v))
+	}
+	if h.pending != nil {
+		lost = max(lost, h.lostSince(&h.pending.book, v))
+	}
+	return h.valid(now) - lost
+}
+
+// lostSince is how much of a Book's budget has gone. Each node answers with its
+// unspent tokens for its own losses; what goes beyond those, every other node takes
+// upon itself in full, since it cannot know that another does. A node that is
+// not heard of counts as lost whole.
+func (h *Holder) lostSince(b *Book, v View) int {
+	lost := max(0, v.Floor-b.Floor) + max(0, -b.Free())
+	for _, e := range b.Entries {
+		if e.Node == h.Node {
+			lost += h.ownLoss(e)
+			continue
+		}
+		o := v.seen(e.Node)
+		unspent := max(0, e.Tokens-(o.Alive-o.InService))
+		lost += max(0, len(e.Backends)-o.Alive-unspent)
+	}
+	return lost
+}
+
+// ownLoss is how many servers of an entry are not here any more.
+func (h *Holder) ownLoss(e Entry) int {
+	lost := 0
+	for _, id := range e.Backends {
+		if _, here := slices.BinarySearch(h.backends, id); !here {
+			lost++
+		}
+	}
+	return lost
+}
+
+func (v *View) seen(node ident.Node) Seen {
+	for _, o := range v.Others {
+		if o.Node == node {
+			return o
+		}
+	}
+	return Seen{Node: node}
+}
+
+func (v *View) inService() int {
+	sum := v.InService
+	for _, o := range v.Others {
+		sum += o.InService
+	}
+	return sum
 }
 
 func (h *Holder) renewDue(now time.Time) bool {
--- a/internal/policy/route/picker.go
+++ b/internal/policy/route/picker.go
@@ -23,6 +23,12 @@
 	smoothing = 0.1
 	// remotePenalty is the load that another availability zone must save.
 	remotePenalty = 0.5
+	// latencyHalf is the time in which a latency that is not measured again
+	// halves, so that a sidecar which was slow once is tried again.
+	latencyHalf = time.Second
+	// exploreShare is one in how many attempts go to the first drawn, whatever
+	// the comparison says.
+	exploreShare = 16
 	// full is the load from which a sidecar has no room.
 	full = 1.0
 )
@@ -59,6 +65,7 @@
 		busy     int
 		told     time.Time
 		latency  time.Duration
+		measured time.Time
 
 		failures    int
 		avoidUntil  time.Time
@@ -103,6 +110,7 @@
 		func(s *sidecar) bool { return s.open(t.Now) && s.Slots > 0 && s.rested(t.Now) },
 		func(s *sidecar) bool { return s.open(t.Now) },
 		func(s *sidecar) bool { return !s.Leaving },
+		func(*sidecar) bool { return true },
 	} {
 		left := buffer[:0]
 		for _, s := range p.sidecars {
@@ -117,21 +125,6 @@
 	return Sidecar{}, false
 }
 
-// Relay returns another sidecar by which one that cannot be reached directly
-// may be reached.
-func (p *Picker) Relay(t turn.Turn, around string) (Sidecar, bool) {
-	left := make([]*sidecar, 0, len(p.sidecars))
-	for _, s := range p.sidecars {
-		if s.Address != around && s.open(t.Now) {
-			left = append(left, s)
-		}
-	}
-	if len(left) == 0 {
-		return Sidecar{}, false
-	}
-	return left[t.Random.IntN(len(left))].Sidecar, true
-}
-
 // Sent notes that an attempt goes to a sidecar.
 func (p *Picker) Sent(address string) {
 	if s := p.find(address); s != nil {
@@ -149,6 +142,7 @@
 	s.hear(t, told)
 	s.failures = 0
 	s.avoidUntil = time.Time{}
+	s.measured = t.Now
 	if s.latency == 0 {
 		s.latency = took
 		return
@@ -216,7 +210,7 @@
 	if b == a {
 		b = from[len(from)-1]
 	}
-	if p.cost(t, b) < p.cost(t, a) {
+	if t.Random.IntN(exploreShare) > 0 && p.cost(t, b) < p.cost(t, a) {
 		return b
 	}
 	return a
@@ -228,7 +222,13 @@
 	if s.Zone != p.Zone {
 		cost += remotePenalty
 	}
-	return (cost + full) * float64(max(s.latency, time.Millisecond))
+	return (cost + full) * float64(max(s.recent(t.Now), time.Millisecond))
+}
+
+// recent is the latency, less the longer ago it was measured.
+func (s *sidecar) recent(now time.Time) time.Duration {
+	age := min(now.Sub(s.measured)/latencyHalf, 32)
+	return s.latency >> max(age, 0)
 }
 
 // load is the busy slots and the line as a share of the slots.
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -114,7 +114,9 @@
 	a.x.server.with(a.x.match.Entry.Name, func(t turn.Turn, l *lane) {
 		l.picker.Refused(t, a.sidecar.Address, told(refusal.Load))
 	})
-	return a.failed(retry.Refused, "refused", errors.Newf("refused: %s", refusal.Detail))
+	r := a.failed(retry.Refused, "refused", errors.Newf("refused: %s", refusal.Detail))
+	r.moved = refusal.Reason == wire.Reason_REASON_NO_BACKEND || refusal.Reason == wire.Reason_REASON_LEAVING
+	return r
 }
 
 func (a *attempt) failure(f wire.Frame) result {
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -30,8 +30,10 @@
 	// result is what an attempt came to.
 	result struct {
 		answered bool
-		outcome  retry.Outcome
-		trouble  trouble
+		// moved tells that the sidecar has no backend server for the service.
+		moved   bool
+		outcome retry.Outcome
+		trouble trouble
 	}
 
 	// attempt is one attempt on its stream to a sidecar.
@@ -61,7 +63,7 @@
 	}
 	defer a.cancel(nil)
 	defer a.stream.Close()
-	stop := context.AfterFunc(a.ctx, func() { _ = a.stream.Close() })
+	stop := context.AfterFunc(a.ctx, a.stream.Cancel)
 	defer stop()
 	r := a.exchange()
 	if r.outcome == retry.Lost && !x.repeatable && ctx.Err() == nil {
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -30,6 +30,8 @@
 	// KeyHeader names a request over several submissions.
 	KeyHeader = "Idempotency-Key"
 
+	// againPause is the wait before the same sidecars are tried again.
+	againPause = 10 * time.Millisecond
 	// retrySoon is when a caller that was refused for load may come again.
 	retrySoon = time.Second
 )
@@ -48,6 +50,8 @@
 	headers    []*wire.Header
 	plan       retry.Plan
 	tried      []string
+	// moved tells that the last sidecar has no backend servers any more.
+	moved bool
 	// committed tells that the answer's head has gone to the caller.
 	committed bool
 	// headed tells that the head of an answer has come.
@@ -79,7 +83,7 @@
 // run makes attempts until there is an outcome, which it tells the caller.
 func (x *exchange) run(ctx context.Context) {
 	for {
-		sidecar, found := x.pick()
+		sidecar, found := x.next(ctx)
 		if !found {
 			x.end(x.plan.GiveUp())
 			return
@@ -94,6 +98,7 @@
 			return
 		}
 		x.last = result.trouble
+		x.moved = result.moved
 		step := x.plan.Next(x.now(), result.outcome)
 		if step != retry.Again || !x.body.replay() {
 			x.end(x.finalStep(step))
@@ -103,6 +108,30 @@
 	}
 }
 
+// next picks the sidecar for the next attempt. Where none is left, or the last
+// one has lost its backend servers, the directory is asked anew.
+func (x *exchange) next(ctx context.Context) (route.Sidecar, bool) {
+	if x.moved {
+		x.server.find(ctx, x.match.Entry.Name)
+	}
+	sidecar, found := x.pick()
+	if found {
+		return sidecar, true
+	}
+	if !x.moved {
+		x.server.find(ctx, x.match.Entry.Name)
+	}
+	if sidecar, found = x.pick(); found {
+		return sidecar, true
+	}
+	x.tried = x.tried[:0]
+	select {
+	case <-x.server.config.Clock.After(againPause):
+	case <-ctx.Done():
+	}
+	return x.pick()
+}
+
 func (x *exchange) finalStep(step retry.Step) retry.Step {
 	if step == retry.Again {
 		return x.plan.GiveUp()
@@ -151,12 +180,10 @@
 	found := false
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
 		sidecar, found = l.picker.Pick(t, x.tried)
-		if !found && len(x.tried) > 0 && l.picker.Len() > 0 {
-			x.tried = x.tried[:0]
-			sidecar, found = l.picker.Pick(t, x.tried)
-		}
 	})
-	x.tried = append(x.tried, sidecar.Address)
+	if found {
+		x.tried = append(x.tried, sidecar.Address)
+	}
 	return sidecar, found
 }
 
--- a/internal/proxy/front/fence.go
+++ b/internal/proxy/front/fence.go
@@ -7,28 +7,27 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/figwick/figwick/internal/base/events"
-	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/peer/link"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/retry"
-	"github.com/figwick/figwick/internal/policy/route"
 )
 
 const (
 	// fenceTimeout bounds one question for an attempt's fate, beyond the time
 	// that a running attempt may still take.
 	fenceTimeout = 1500 * time.Millisecond
-	// fenceTries is how many ways are tried: the direct one, then relays.
-	fenceTries = 3
+	// fenceRelays is how many relays are tried after the direct way.
+	fenceRelays = 2
 )
 
 // settle finds out what became of an attempt whose answer is lost: directly,
 // then through other nodes.
 func (a *attempt) settle(ctx context.Context, lost result) result {
 	ctx = context.WithoutCancel(ctx)
-	for try := range fenceTries {
+	ways := append([]string{""}, a.x.server.config.Relays.Relays(a.sidecar.Address, fenceRelays)...)
+	for _, relay := range ways {
 		a.x.server.config.Meter.Fences.Inc(1)
-		reply, err := a.fence(ctx, try > 0)
+		reply, err := a.fence(ctx, relay)
 		if err != nil {
 			continue
 		}
@@ -58,16 +57,16 @@
 	return result{answered: true}
 }
 
-func (a *attempt) fence(ctx context.Context, around bool) (*wire.FenceReply, error) {
+func (a *attempt) fence(ctx context.Context, relay string) (*wire.FenceReply, error) {
 	wait := max(0, a.x.deadline.Sub(a.x.now()))
 	ctx, cancel := context.WithTimeout(ctx, wait+fenceTimeout)
 	defer cancel()
-	stream, err := a.way(ctx, around)
+	stream, err := a.way(ctx, relay)
 	if err != nil {
 		return nil, err
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
 	ask := &wire.Fence{Attempt: string(a.id), Stamp: a.stamp, WaitMs: wait.Milliseconds()}
 	if err := stream.Send(wire.KindFence, ask); err != nil {
@@ -77,26 +76,19 @@
 	return reply, errors.Wrapf(err, "front: fence at %s", a.sidecar.Address)
 }
 
-// way opens a stream to the sidecar, directly or around the direct path.
-func (a *attempt) way(ctx context.Context, around bool) (*link.Stream, error) {
+// way opens a stream to the sidecar, directly or by a relay.
+func (a *attempt) way(ctx context.Context, relay string) (*link.Stream, error) {
 	opening, done := context.WithTimeout(ctx, openTimeout)
 	defer done()
-	if !around {
+	if relay == "" {
 		return a.open(opening)
 	}
-	relay, found := route.Sidecar{}, false
-	a.x.server.with(a.x.match.Entry.Name, func(t turn.Turn, l *lane) {
-		relay, found = l.picker.Relay(t, a.sidecar.Address)
-	})
-	if !found {
-		return nil, errors.Newf("front: no node to relay to %s", a.sidecar.Address)
-	}
-	stream, err := a.x.server.config.Links.Open(opening, relay.Address)
+	stream, err := a.x.server.config.Links.Open(opening, relay)
 	if err != nil {
 		return nil, err
 	}
 	err = stream.Send(wire.KindRelay, &wire.Relay{Address: a.sidecar.Address})
-	return stream, errors.Wrapf(err, "front: relay by %s", relay.Address)
+	return stream, errors.Wrapf(err, "front: relay by %s", relay)
 }
 
 // open opens a direct stream whose session has just given a sign of life.
--- a/internal/proxy/front/server.go
+++ b/internal/proxy/front/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/figwick/figwick/internal/base/events"
 	"github.com/figwick/figwick/internal/base/ident"
@@ -23,6 +24,10 @@
 	"github.com/figwick/figwick/internal/state/config"
 )
 
+// findEvery is the least time between two questions to the directory that a
+// request has to wait for.
+const findEvery = 50 * time.Millisecond
+
 type (
 	// Opener opens streams to other nodes.
 	Opener interface {
@@ -30,6 +35,16 @@
 		Drop(address string)
 	}
 
+	// Finder asks the directory for the sidecars of a service.
+	Finder interface {
+		Find(ctx context.Context, name ident.Service) []route.Sidecar
+	}
+
+	// Relays names nodes by which others may be reached.
+	Relays interface {
+		Relays(around string, n int) []string
+	}
+
 	// Config makes a Server.
 	Config struct {
 		Clock  clockwork.Clock
@@ -38,6 +53,10 @@
 		Meter  *meter.Meter
 		Links  Opener
 		Zone   ident.Zone
+		// Finder is asked while no sidecar of a service is known.
+		Finder Finder
+		// Relays is asked for ways around a path that fails.
+		Relays Relays
 		// Keys keeps the records of idempotency keys; nil keeps none.
 		Keys Keys
 	}
@@ -50,6 +69,7 @@
 		mutex    sync.Mutex
 		lanes    map[ident.Service]*lane
 		limits   limit.Local
+		finding  singleflight.Group
 	}
 
 	// lane is one service as this ingress sees it.
@@ -59,6 +79,8 @@
 		survey health.Survey
 		// used is when the last request came.
 		used time.Time
+		// findAt is when the directory may be asked again out of turn.
+		findAt time.Time
 	}
 )
 
@@ -108,6 +130,26 @@
 	}
 }
 
+// find asks for the sidecars of a service that this ingress does not know, or
+// knows too late, and adds them. A service is asked for once in findEvery.
+func (s *Server) find(ctx context.Context, name ident.Service) {
+	_, _, _ = s.finding.Do(string(name), func() (any, error) {
+		due := false
+		s.with(name, func(t turn.Turn, l *lane) { due = !t.Now.Before(l.findAt) })
+		if !due {
+			return nil, nil
+		}
+		found := s.config.Finder.Find(context.WithoutCancel(ctx), name)
+		s.with(name, func(t turn.Turn, l *lane) {
+			l.findAt = t.Now.Add(findEvery)
+			for _, c := range found {
+				l.picker.Set(c)
+			}
+		})
+		return nil, nil
+	})
+}
+
 // Used returns the services that had requests since a time.
 func (s *Server) Used(since time.Time) []ident.Service {
 	s.mutex.Lock()
--- a/internal/proxy/node/caller_test.go
+++ b/internal/proxy/node/caller_test.go
@@ -369,4 +369,3 @@
 }
 
 func (r *trailed) Close() error { return nil }
-
--- a/internal/proxy/node/directory.go
+++ b/internal/proxy/node/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/desk"
+	"github.com/figwick/figwick/internal/policy/floor"
 	"github.com/figwick/figwick/internal/policy/route"
 	"github.com/figwick/figwick/internal/state/index"
 	"github.com/figwick/figwick/internal/state/member"
@@ -33,6 +35,13 @@
 		puts   map[ident.Service]*put
 		wants  map[ident.Service]time.Time
 		owners map[ident.Service][]string
+		known  map[ident.Service]map[string]remembered
+	}
+
+	// remembered is a record and when its node put it.
+	remembered struct {
+		record *wire.ServiceRecord
+		put    time.Time
 	}
 
 	// put is the last record that was put for a service.
@@ -190,28 +199,53 @@
 	}
 }
 
-// learn takes the records of a service to the ingress and the sidecar.
+// learn takes the records of a service to the ingress and the sidecar. A record
+// that an owner does not have stays until it lapses: an owner that has just
+// taken over knows only a part.
 func (d *directory) learn(name ident.Service, records []*wire.ServiceRecord) {
 	self := string(d.node.config.ID)
-	others := desk.Others{}
-	sidecars := make([]route.Sidecar, 0, len(records))
-	for _, r := range records {
-		sidecars = append(sidecars, route.Sidecar{
-			Address: r.Address,
-			Node:    ident.Node(r.Node),
-			Zone:    ident.Zone(r.Zone),
-			Slots:   int(r.Slots),
-			Leaving: r.Leaving,
-		})
+	known := d.remember(name, records)
+	var others []floor.Seen
+	for _, r := range known {
 		if r.Node != self {
-			others.Alive += int(r.Alive)
-			others.InService += int(r.InService)
+			others = append(others, floor.Seen{
+				Node: ident.Node(r.Node), Alive: int(r.Alive), InService: int(r.InService),
+			})
 		}
 	}
-	d.node.front.SetSidecars(name, sidecars)
+	d.node.front.SetSidecars(name, sidecarsOf(known))
 	d.node.side.Look(func(_ turn.Turn, k *desk.Desk) { k.SetOthers(name, others) })
 }
 
+// remember keeps the latest record of each node for as long as it is good.
+func (d *directory) remember(name ident.Service, records []*wire.ServiceRecord) []*wire.ServiceRecord {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.node.config.Clock.Now()
+	if d.known == nil {
+		d.known = map[ident.Service]map[string]remembered{}
+	}
+	if d.known[name] == nil {
+		d.known[name] = map[string]remembered{}
+	}
+	known := d.known[name]
+	for _, r := range records {
+		put := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+		if old, found := known[r.Node]; !found || put.After(old.put) {
+			known[r.Node] = remembered{record: r, put: put}
+		}
+	}
+	var good []*wire.ServiceRecord
+	for _, node := range slices.Sorted(maps.Keys(known)) {
+		if now.Sub(known[node].put) >= index.Lease {
+			delete(known, node)
+			continue
+		}
+		good = append(good, known[node].record)
+	}
+	return good
+}
+
 // moved forgets the backend servers that another node has by now.
 func (d *directory) moved(marks []*wire.BackendMark) {
 	for _, m := range marks {
@@ -244,27 +278,57 @@
 	return reply
 }
 
-// find asks the owners of a service's directory in turn, for status.
-func (d *directory) find(ctx context.Context, names []string) map[string][]*wire.ServiceRecord {
-	found := map[string][]*wire.ServiceRecord{}
-	for _, name := range names {
-		for _, owner := range d.node.fleet.ownersOf(name, index.Owners) {
-			asking, done := context.WithTimeout(ctx, exchangeTimeout)
-			reply, err := ask[wire.DirectoryReply](asking, d.node, owner.Address, wire.KindDirectory,
-				&wire.Directory{From: string(d.node.config.ID), Gets: []string{name}}, wire.KindDirectoryReply)
-			done()
-			if err == nil {
-				found[name] = reply.Records
-				break
+// ask asks all owners of a service's directory at once and joins what they have.
+// It reports false where none answers.
+func (d *directory) ask(ctx context.Context, name ident.Service) ([]*wire.ServiceRecord, bool) {
+	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
+	defer done()
+	owners := d.node.fleet.ownersOf(string(name), index.Owners)
+	replies := make([]*wire.DirectoryReply, len(owners))
+	var asked sync.WaitGroup
+	for i, owner := range owners {
+		asked.Go(func() {
+			replies[i], _ = ask[wire.DirectoryReply](ctx, d.node, owner.Address, wire.KindDirectory,
+				&wire.Directory{From: string(d.node.config.ID), Gets: []string{string(name)}}, wire.KindDirectoryReply)
+		})
+	}
+	asked.Wait()
+	latest := map[string]*wire.ServiceRecord{}
+	answered := false
+	for _, reply := range replies {
+		answered = answered || reply != nil
+		for _, r := range reply.GetRecords() {
+			if old, found := latest[r.Node]; !found || r.AgeMs < old.AgeMs {
+				latest[r.Node] = r
 			}
 		}
 	}
-	return found
+	return slices.Collect(maps.Values(latest)), answered
+}
+
+// Find returns the sidecars of a service that is new to the ingress here.
+func (d *directory) Find(ctx context.Context, name ident.Service) []route.Sidecar {
+	records, _ := d.ask(ctx, name)
+	return sidecarsOf(d.remember(name, records))
+}
+
+func sidecarsOf(records []*wire.ServiceRecord) []route.Sidecar {
+	sidecars := make([]route.Sidecar, 0, len(records))
+	for _, r := range records {
+		sidecars = append(sidecars, route.Sidecar{
+			Address: r.Address,
+			Node:    ident.Node(r.Node),
+			Zone:    ident.Zone(r.Zone),
+			Slots:   int(r.Slots),
+			Leaving: r.Leaving,
+		})
+	}
+	return sidecars
 }
 
 // ownRecords sums up the services behind this node's sidecar.
 func (n *Node) ownRecords() []*wire.ServiceRecord {
-	leaving := n.state.Load() != phaseServing
+	leaving := n.state.Load() == phaseDraining
 	var records []*wire.ServiceRecord
 	n.side.Look(func(t turn.Turn, d *desk.Desk) {
 		for _, s := range d.Summaries(t) {
--- /dev/null
+++ b/internal/proxy/node/faults_test.go
@@ -0,0 +1,394 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/fake/flaky"
+	"github.com/figwick/figwick/internal/fake/fleet"
+	"github.com/figwick/figwick/internal/fake/kvs"
+	"github.com/figwick/figwick/internal/fake/server"
+	"github.com/figwick/figwick/internal/peer/link"
+	"github.com/figwick/figwick/internal/proxy/front"
+)
+
+// gate lets a backend server's runs wait for the test.
+type gate struct {
+	entered chan struct{}
+	leave   chan struct{}
+}
+
+func newGate() *gate {
+	return &gate{entered: make(chan struct{}, 100), leave: make(chan struct{})}
+}
+
+func (g *gate) serve(w http.ResponseWriter, r *http.Request) {
+	g.entered <- struct{}{}
+	select {
+	case <-g.leave:
+	case <-r.Context().Done():
+		return
+	}
+	_, _ = io.WriteString(w, "done")
+}
+
+// flakyBench is a bench of three nodes over a network with faults; its backend
+// servers are at the nodes named, so that the first node has to reach others.
+func flakyBench(t *testing.T, c server.Config, at ...int) (*bench, *flaky.Net) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	t.Cleanup(cancel)
+	net := flaky.New()
+	f, err := fleet.Start(ctx, fleet.Config{Nodes: 3, Dialer: func(id ident.Node) link.Dialer { return net.Dialer(id) }})
+	assert.NilError(t, err)
+	t.Cleanup(f.Stop)
+	t.Cleanup(net.LetGo)
+	for _, m := range f.Nodes {
+		net.Name(m.Peers, m.ID)
+	}
+	b := &bench{Fleet: f, t: t, ctx: ctx, client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(b.client.CloseIdleConnections)
+	assert.NilError(t, f.Apply(ctx, []byte(testFile)))
+	for i, node := range at {
+		c.ID = ident.Backend(fmt.Sprintf("shop-%d", i+1))
+		c.Service = "shop"
+		c.Slots = 3
+		s, err := f.Serve(ctx, node, c)
+		assert.NilError(t, err)
+		b.servers = append(b.servers, s)
+	}
+	assert.NilError(t, f.InService(ctx, "shop", len(at)))
+	// One request makes the ingress learn the sidecars and open its sessions.
+	for range 2 * len(at) {
+		response, _ := b.do(b.request(0, http.MethodGet, "/warm", nil))
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	return b, net
+}
+
+func (b *bench) order(at int, id string) *http.Request {
+	r := b.request(at, http.MethodPost, "/orders", strings.NewReader("two boxes"))
+	r.Header.Set(server.RequestHeader, id)
+	return r
+}
+
+func (b *bench) runs(id string) int {
+	n := 0
+	for _, s := range b.servers {
+		n += s.Runs()[id]
+	}
+	return n
+}
+
+type reply struct {
+	status  int
+	outcome string
+	text    string
+	err     error
+}
+
+// send makes a request in the background.
+func (b *bench) send(r *http.Request) <-chan reply {
+	c := make(chan reply, 1)
+	go func() {
+		response, err := b.client.Do(r)
+		if err != nil {
+			c <- reply{err: err}
+			return
+		}
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		c <- reply{response.StatusCode, response.Header.Get(front.OutcomeHeader), string(text), err}
+	}()
+	return c
+}
+
+// TestLostAnswerIsRecovered: the answer to an order is held on its way. The
+// ingress asks for its fate through the third node and passes it on.
+func TestLostAnswerIsRecovered(t *testing.T) {
+	g := newGate()
+	close(g.leave)
+	b, net := flakyBench(t, server.Config{Handler: g.serve}, 1)
+	net.Hold("node-2", "node-1")
+	got := <-b.send(b.order(0, "order"))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, got.text)
+	assert.Equal(t, got.text, "done")
+	assert.Equal(t, b.runs("order"), 1)
+}
+
+// TestLateAttemptNeverStarts: an order is held on its way out. A fence through
+// the third node keeps it from starting, it runs elsewhere, and when the held
+// attempt arrives at last it does not run a second time.
+func TestLateAttemptNeverStarts(t *testing.T) {
+	b, net := flakyBench(t, server.Config{}, 1, 2)
+	net.Hold("node-1", "node-2")
+	for i := range 6 {
+		id := fmt.Sprintf("order-%d", i)
+		got := <-b.send(b.order(0, id))
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK, got.text)
+		assert.Equal(t, b.runs(id), 1)
+	}
+	net.LetGo()
+	response, _ := b.do(b.request(0, http.MethodGet, "/after", nil))
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	for i := range 6 {
+		assert.Equal(t, b.runs(fmt.Sprintf("order-%d", i)), 1)
+	}
+}
+
+// TestSidecarDiesWithAnOrder: the node that runs an order is killed. The caller
+// hears that nobody knows, and the order is not tried again.
+func TestSidecarDiesWithAnOrder(t *testing.T) {
+	g := newGate()
+	b, _ := flakyBench(t, server.Config{Handler: func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/warm" {
+			return
+		}
+		g.serve(w, r)
+	}}, 1, 2)
+	answer := b.send(b.order(0, "order"))
+	<-g.entered
+	for i, s := range b.servers {
+		if s.Runs()["order"] > 0 {
+			b.Nodes[i+1].Kill()
+		}
+	}
+	got := <-answer
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.outcome, front.Unknown, got.text)
+	assert.Equal(t, b.runs("order"), 1)
+	close(g.leave)
+}
+
+// TestBackendFaults: what callers hear of a backend server's faults.
+func TestBackendFaults(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		sick       server.Sickness
+		repeatable bool
+		status     int
+		outcome    string
+	}{
+		{"truncating an order", server.Sickness{Truncating: 1}, false, 502, front.Unknown},
+		{"truncating a look-up", server.Sickness{Truncating: 1}, true, 200, ""},
+		{"hanging with an order", server.Sickness{Hanging: true}, false, 504, front.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, _ := flakyBench(t, server.Config{}, 1, 2)
+			b.servers[0].Fall(c.sick)
+			ran := false
+			for i := 0; i < 200 && !ran; i++ {
+				id := fmt.Sprintf("request-%d", i)
+				r := b.order(0, id)
+				if c.repeatable {
+					r.URL.Path = "/lookup"
+				}
+				r.Header.Set(front.TimeoutHeader, "1s")
+				got := <-b.send(r)
+				assert.NilError(t, got.err)
+				if b.servers[0].Runs()[id] == 0 {
+					assert.Equal(t, got.status, http.StatusOK, got.text)
+					continue
+				}
+				ran = true
+				assert.Equal(t, got.status, c.status, got.text)
+				assert.Equal(t, got.outcome, c.outcome)
+				if !c.repeatable {
+					assert.Equal(t, b.runs(id), 1)
+				}
+			}
+			assert.Check(t, ran, "the sick server got nothing")
+		})
+	}
+}
+
+// TestRefusedConnectionIsNotRun: a backend server that is gone but announced has
+// not run an order, and another may.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	b, _ := flakyBench(t, server.Config{}, 1, 2)
+	b.servers[0].Kill()
+	for i := range 10 {
+		id := fmt.Sprintf("order-%d", i)
+		got := <-b.send(b.order(0, id))
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK, got.text)
+		assert.Equal(t, b.runs(id), 1)
+	}
+}
+
+// TestKeyRunsOnce: submissions of one key race through two ingresses, with
+// replies of the store lost.
+func TestKeyRunsOnce(t *testing.T) {
+	b, _ := flakyBench(t, server.Config{}, 1, 2)
+	for i := range 20 {
+		b.Store.Inject(kvs.Faults{LoseReplies: i % 3})
+		id := fmt.Sprintf("order-%d", i)
+		var answers []<-chan reply
+		for at := range 3 {
+			r := b.order(at, id)
+			r.Header.Set(front.KeyHeader, id)
+			answers = append(answers, b.send(r))
+		}
+		whole := 0
+		for _, c := range answers {
+			got := <-c
+			assert.NilError(t, got.err)
+			if got.status == http.StatusOK {
+				whole++
+				continue
+			}
+			assert.Equal(t, got.outcome, front.Unknown, got.text)
+		}
+		assert.Equal(t, b.runs(id) <= 1, true, "%d runs", b.runs(id))
+		if whole > 0 {
+			assert.Equal(t, b.runs(id), 1)
+		}
+	}
+	b.Store.Inject(kvs.Faults{Down: true})
+	r := b.order(0, "in-the-outage")
+	r.Header.Set(front.KeyHeader, "in-the-outage")
+	got := <-b.send(r)
+	assert.Equal(t, got.outcome, front.Unknown, got.text)
+	assert.Equal(t, b.runs("in-the-outage"), 0)
+}
+
+// TestLeavingServerGetsNothingNew: what a backend server has when it leaves is
+// finished; nothing more comes, from any ingress.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	g := newGate()
+	b, _ := flakyBench(t, server.Config{Handler: func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			g.serve(w, r)
+		}
+	}}, 1, 2)
+	var slow []<-chan reply
+	for range 4 {
+		slow = append(slow, b.send(b.request(0, http.MethodGet, "/slow", nil)))
+	}
+	for range 4 {
+		<-g.entered
+	}
+	left := make(chan error, 1)
+	go func() { left <- b.servers[0].Leave(b.ctx) }()
+	assert.NilError(t, b.InService(b.ctx, "shop", 1))
+	before := b.servers[0].Total()
+	for i := range 30 {
+		response, text := b.do(b.request(i%3, http.MethodGet, "/new", nil))
+		assert.Equal(t, response.StatusCode, http.StatusOK, text)
+	}
+	assert.Equal(t, b.servers[0].Total(), before)
+	close(g.leave)
+	for _, c := range slow {
+		got := <-c
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.text, "done")
+	}
+	assert.NilError(t, <-left)
+}
+
+// TestRollingRestartFailsNothing restarts every node under load, each time
+// through a graceful stop; callers move on to another node when one closes.
+func TestRollingRestartFailsNothing(t *testing.T) {
+	b := start(t, 3, 6, server.Config{Work: 2 * time.Millisecond})
+	var mutex sync.Mutex
+	addresses := make([]string, len(b.Nodes))
+	for i, m := range b.Nodes {
+		addresses[i] = m.Callers
+	}
+	stop := make(chan struct{})
+	var sent, failed atomic.Int64
+	var first atomic.Pointer[string]
+	var callers sync.WaitGroup
+	for i := range 6 {
+		callers.Go(func() {
+			for n := i; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				mutex.Lock()
+				address := addresses[n%len(addresses)]
+				mutex.Unlock()
+				if address == "" {
+					continue
+				}
+				r, err := http.NewRequestWithContext(b.ctx, http.MethodPost, "http://"+address+"/orders", strings.NewReader("x"))
+				if err != nil {
+					return
+				}
+				r.Host = "shop.test"
+				sent.Add(1)
+				if got := <-b.send(r); got.err != nil || got.status != http.StatusOK {
+					failed.Add(1)
+					text := fmt.Sprintf("%+v", got)
+					first.CompareAndSwap(nil, &text)
+				}
+			}
+		})
+	}
+	for i := range b.Nodes {
+		// A caller's list of nodes loses the node before it closes.
+		mutex.Lock()
+		addresses[i] = ""
+		mutex.Unlock()
+		assert.NilError(t, b.Nodes[i].Stop())
+		assert.NilError(t, b.Replace(b.ctx, i))
+		assert.NilError(t, b.Until(b.ctx, func() bool { return b.Nodes[i].Node.Ready().Ready }))
+		assert.NilError(t, b.InService(b.ctx, "shop", 6))
+		mutex.Lock()
+		addresses[i] = b.Nodes[i].Callers
+		mutex.Unlock()
+	}
+	close(stop)
+	callers.Wait()
+	assert.Check(t, sent.Load() > 0)
+	if text := first.Load(); text != nil {
+		t.Fatalf("%d of %d requests failed, the first: %s", failed.Load(), sent.Load(), *text)
+	}
+}
+
+// TestWorkGoesOnWithoutTheStore: with the store down, requests are served, and
+// a replaced node takes the configuration from its peers.
+func TestWorkGoesOnWithoutTheStore(t *testing.T) {
+	b := start(t, 3, 3, server.Config{})
+	b.Store.Inject(kvs.Faults{Down: true})
+	b.Nodes[2].Kill()
+	assert.NilError(t, b.Replace(b.ctx, 2))
+	assert.NilError(t, b.Until(b.ctx, func() bool { return b.Nodes[2].Node.Ready().Ready }))
+	assert.NilError(t, b.InService(b.ctx, "shop", 3))
+	for i := range 9 {
+		response, text := b.do(b.request(i%3, http.MethodPost, "/orders", strings.NewReader("x")))
+		assert.Equal(t, response.StatusCode, http.StatusOK, text)
+	}
+}
+
+// TestGrayServerIsEjected: one of nine servers fails half of its work; it is
+// taken out, and its service stays above the floor.
+func TestGrayServerIsEjected(t *testing.T) {
+	b := start(t, 3, 9, server.Config{})
+	b.servers[4].Fall(server.Sickness{Failing: 0.5})
+	assert.NilError(t, b.Until(b.ctx, func() bool {
+		for i := range 9 {
+			<-b.send(b.request(i%3, http.MethodGet, "/any", nil))
+		}
+		for _, s := range b.Nodes[0].Node.Status(b.ctx).Services {
+			if s.Ejected == 1 && s.InService == 8 {
+				return true
+			}
+		}
+		return false
+	}))
+}
--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -159,6 +159,22 @@
 	return others
 }
 
+// Relays returns up to n other working nodes, drawn at random.
+func (f *fleet) Relays(around string, n int) []string {
+	var relays []string
+	for _, r := range f.working() {
+		if r.Address != around {
+			relays = append(relays, r.Address)
+		}
+	}
+	random := f.node.config.Random
+	for i := range min(n, len(relays)) {
+		j := i + random.IntN(len(relays)-i)
+		relays[i], relays[j] = relays[j], relays[i]
+	}
+	return relays[:min(n, len(relays))]
+}
+
 func (f *fleet) dead() []ident.Node {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/proxy/node/handle.go
+++ b/internal/proxy/node/handle.go
@@ -27,6 +27,7 @@
 func (n *Node) dispatch(ctx context.Context, conn *wire.Conn, first wire.Frame) error {
 	switch first.Kind {
 	case wire.KindRequestHead:
+		n.busyAt.Store(n.config.Clock.Now().UnixNano())
 		return serve(first, first.Kind, func(m *wire.RequestHead) error {
 			n.side.Attempt(ctx, conn, m)
 			return nil
@@ -86,7 +87,7 @@
 		return nil, err
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
 	n.meter.ControlBytes.Inc(int64(proto.Size(m) + frameBytes))
 	if err := stream.Send(kind, m); err != nil {
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -83,7 +83,7 @@
 	})
 	n.directory.tick(ctx)
 	_ = n.callers.Shutdown(ctx)
-	cut := !n.until(ctx, n.idle)
+	cut := !n.until(ctx, n.quiet)
 	n.books.settle(ctx)
 	n.fleet.leave(ctx, true)
 	if cut {
@@ -117,6 +117,19 @@
 	return held == 0 && n.relayed.Load() == 0 && n.front.InFlight() == 0 && len(n.side.Running()) == 0
 }
 
+// quiet tells that nothing is in flight, and that nothing has been for long
+// enough that the last answers have left and no attempt is still on its way.
+func (n *Node) quiet() bool {
+	now := n.config.Clock.Now()
+	if !n.idle() {
+		n.busyAt.Store(now.UnixNano())
+	}
+	return now.Sub(time.Unix(0, n.busyAt.Load())) >= quietTime
+}
+
+// quietTime covers a message's way to the slowest ingress.
+const quietTime = time.Second
+
 // until waits for a condition and reports whether it came before the context
 // ended.
 func (n *Node) until(ctx context.Context, condition func() bool) bool {
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -97,6 +97,8 @@
 		homes     *homes
 		callers   *http.Server
 		relayed   atomic.Int64
+		// busyAt is when work was last seen, in nanoseconds.
+		busyAt    atomic.Int64
 		state     atomic.Int32
 		stopping  chan struct{}
 		stopOnce  sync.Once
@@ -144,6 +146,8 @@
 		Started:  n.started,
 	})
 	watched := &countedStore{Store: c.Store, meter: n.meter, log: c.Log}
+	n.directory = &directory{node: n}
+	n.fleet = newFleet(n)
 	n.front = front.NewServer(front.Config{
 		Clock:  c.Clock,
 		Random: c.Random,
@@ -151,10 +155,10 @@
 		Meter:  n.meter,
 		Links:  n.links,
 		Zone:   c.Zone,
+		Finder: n.directory,
+		Relays: n.fleet,
 		Keys:   keys.NewBook(keys.Config{Store: watched, Clock: c.Clock}),
 	})
-	n.fleet = newFleet(n)
-	n.directory = &directory{node: n}
 	n.configs = &configs{node: n, store: watched}
 	n.books = &books{node: n, store: watched}
 	n.homes = newHomes(n)
--- a/internal/proxy/node/status.go
+++ b/internal/proxy/node/status.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strings"
-	"sync"
 
 	"golang.org/x/sync/errgroup"
 
@@ -182,12 +181,10 @@
 	statuses := make([]ServiceStatus, len(table.File.Services))
 	var group errgroup.Group
 	group.SetLimit(statusCalls)
-	var mutex sync.Mutex
 	for i := range table.File.Services {
 		s := &table.File.Services[i]
 		group.Go(func() error {
-			found := n.directory.find(ctx, []string{string(s.Name)})
-			records, known := found[string(s.Name)]
+			records, known := n.directory.ask(ctx, s.Name)
 			status := ServiceStatus{Name: s.Name, Floor: s.Floor, Known: known, Sidecars: len(records)}
 			for _, r := range records {
 				status.InService += int(r.InService)
@@ -195,8 +192,6 @@
 				status.Leaving += int(r.Draining)
 				status.Slots += int(r.Slots)
 			}
-			mutex.Lock()
-			defer mutex.Unlock()
 			statuses[i] = status
 			return nil
 		})
