health: a server without others to compare with is not judged

Cause: with one backend server, eight callers instead of one doubled its latency against its own past; it was judged sick, put last, and requests were refused (BenchmarkPath failed with status 503 from 8 callers on). Change: no level without other servers, and no verdict without a level. Conclusion: own past is no level; ruled out the cold-start ramp and the queue.

--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -257,13 +257,11 @@
 }
 
 // level is how the others do: the median over the servers in service here and
-// what is known of those elsewhere.
+// what is known of those elsewhere. Without others there is no level, and no
+// server is judged: its own past tells nothing of what is normal now.
 func (k *Tracker) level(except *server) Level {
 	local := k.local(except)
 	if k.remote.Weight <= 0 {
-		if local.Weight == 0 {
-			return own(except)
-		}
 		return local
 	}
 	return blend(local, k.remote)
@@ -287,14 +285,6 @@
 	}
 }
 
-// own is a server's own past, where nothing else is known.
-func own(s *server) Level {
-	if s == nil || s.count < trustedSamples {
-		return Level{}
-	}
-	return Level{Mean: s.mean, Spread: s.spread(), Failure: s.failure, Weight: 1}
-}
-
 func blend(a, b Level) Level {
 	total := a.Weight + b.Weight
 	share := b.Weight / total
--- a/internal/proxy/node/directory.go
+++ b/internal/proxy/node/directory.go
@@ -132,7 +132,8 @@
 func (d *directory) due(now time.Time, name ident.Service, r *wire.ServiceRecord) *put {
 	owners := addresses(d.node.fleet.ownersOf(string(name), index.Owners))
 	last, known := d.puts[name]
-	if known && now.Sub(last.at) < index.PutEvery && slices.Equal(owners, last.owners) && equalRecords(last.record, r) {
+	handingOver := d.node.state.Load() == phaseHandingOver
+	if known && !handingOver && now.Sub(last.at) < index.PutEvery && slices.Equal(owners, last.owners) && equalRecords(last.record, r) {
 		return nil
 	}
 	p := &put{record: r, owners: owners, at: now}
