wire: buffers go back to a pool

Cause: 73% of the bytes allocated for a request were frame buffers: a 32 KB body buffer for each stream, and readers that were never given back. Change: streams have owners and release their buffers; the body buffer is held only while a body flows; small frames keep small buffers.

--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -58,6 +58,7 @@
 		*wire.Conn
 		Peer    Peer
 		Remote  *Remote
+		raw     io.ReadWriteCloser
 		session *yamux.Session
 	}
 
@@ -123,6 +124,7 @@
 		if err == nil {
 			return &Stream{
 				Conn:    wire.NewConn(stream),
+				raw:     stream,
 				Peer:    l.peer,
 				Remote:  p.remote(address),
 				session: l.session,
@@ -156,7 +158,7 @@
 // Cancel ends the exchange and wakes whoever receives from it or sends to it.
 // Closing alone would leave them waiting for the peer.
 func (s *Stream) Cancel() {
-	if limited, ok := s.Conn.Stream().(interface{ SetDeadline(t time.Time) error }); ok {
+	if limited, ok := s.raw.(interface{ SetDeadline(t time.Time) error }); ok {
 		_ = limited.SetDeadline(time.Unix(1, 0))
 	}
 	go func() { _ = s.Close() }()
@@ -164,7 +166,7 @@
 
 // Close ends the exchange. The Conn is released by who has stopped to use it.
 func (s *Stream) Close() error {
-	return s.Conn.Stream().Close()
+	return s.raw.Close()
 }
 
 // Serve takes sessions from a listener until the context ends.
@@ -429,6 +431,7 @@
 func (p *Pool) serve(ctx context.Context, peer Peer, stream io.ReadWriteCloser) {
 	defer stream.Close()
 	conn := wire.NewConn(stream)
+	defer conn.Release()
 	first, err := conn.Next()
 	if err != nil {
 		if !errors.Is(err, io.EOF) {
@@ -445,7 +448,7 @@
 	r := p.remote(p.config.Self.Address)
 	r.Observe(p.config.Self.Instance, p.Reading(), p.config.Clock.Now())
 	go p.serve(context.WithoutCancel(ctx), p.config.Self, far)
-	return &Stream{Conn: wire.NewConn(near), Peer: p.config.Self, Remote: r}
+	return &Stream{Conn: wire.NewConn(near), raw: near, Peer: p.config.Self, Remote: r}
 }
 
 func (p *Pool) yamux() *yamux.Config {
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,7 +53,10 @@
 	smallBytes  = 4 << 10
 	gossipBytes = 256 << 10
 	prefixBytes = 5
-	readBytes   = 8 << 10
+	readBytes   = 4 << 10
+	outBytes    = 1 << 10
+	// keepBytes is the largest buffer that a Conn keeps for later messages.
+	keepBytes = prefixBytes + BodyBytes
 )
 
 var (
@@ -83,7 +87,8 @@
 		KindShares:         gossipBytes,
 	}
 
-	conns sync.Pool
+	conns  sync.Pool
+	bodies = sync.Pool{New: func() any { return new(bodyFrame) }}
 )
 
 type (
@@ -104,36 +109,48 @@
 		reader *bufio.Reader
 		in     []byte
 		out    []byte
+		body   *bodyFrame
+		owners atomic.Int32
 	}
 
+	// bodyFrame is the space for one body frame, held only while a body flows.
+	bodyFrame [prefixBytes + BodyBytes]byte
+
 	message[M any] interface {
 		*M
 		proto.Message
 	}
 )
 
-// NewConn frames messages on a stream, which it does not close.
+// NewConn frames messages on a stream, which it does not close. The caller is
+// its first owner.
 func NewConn(stream io.ReadWriteCloser) *Conn {
 	c, ok := conns.Get().(*Conn)
 	if !ok {
-		c = newConn()
+		c = &Conn{reader: bufio.NewReaderSize(nil, readBytes), out: make([]byte, 0, outBytes)}
 	}
 	c.stream = stream
 	c.reader.Reset(stream)
+	c.owners.Store(1)
 	return c
 }
 
-func newConn() *Conn {
-	return &Conn{
-		reader: bufio.NewReaderSize(nil, readBytes),
-		out:    make([]byte, 0, smallBytes),
-	}
+// Retain adds an owner, who must Release too.
+func (c *Conn) Retain() {
+	c.owners.Add(1)
 }
 
-// Release gives the buffers back. Nothing may use the Conn afterwards.
+// Release ends the use by one owner. The last one gives the buffers back.
 func (c *Conn) Release() {
+	if c.owners.Add(-1) > 0 {
+		return
+	}
 	c.stream = nil
 	c.reader.Reset(nil)
+	if c.body != nil {
+		bodies.Put(c.body)
+		c.body = nil
+	}
 	conns.Put(c)
 }
 
@@ -180,7 +197,7 @@
 		return errors.Wrapf(ErrFrame, "send kind %d: %d bytes, at most %d", kind, size, limits[kind])
 	}
 	binary.BigEndian.PutUint32(frame[1:], uint32(size))
-	if cap(frame) <= prefixBytes+HeadBytes {
+	if cap(frame) <= keepBytes {
 		c.out = frame[:0]
 	}
 	_, err = c.stream.Write(frame)
@@ -189,15 +206,15 @@
 
 // BodyBuffer returns the space that SendBody sends from, BodyBytes long.
 func (c *Conn) BodyBuffer() []byte {
-	if cap(c.out) < prefixBytes+BodyBytes {
-		c.out = make([]byte, 0, prefixBytes+BodyBytes)
+	if c.body == nil {
+		c.body, _ = bodies.Get().(*bodyFrame)
 	}
-	return c.out[prefixBytes : prefixBytes+BodyBytes]
+	return c.body[prefixBytes:]
 }
 
 // SendBody sends the first n bytes of BodyBuffer as one body frame.
 func (c *Conn) SendBody(n int) error {
-	frame := c.out[:prefixBytes+n]
+	frame := c.body[:prefixBytes+n]
 	frame[0] = byte(KindBody)
 	binary.BigEndian.PutUint32(frame[1:], uint32(n))
 	_, err := c.stream.Write(frame)
@@ -241,12 +258,14 @@
 	return Frame{Kind: kind, Payload: payload}, nil
 }
 
+// space returns room for a payload: kept room where it is small, since most
+// payloads are.
 func (c *Conn) space(size int) []byte {
-	if size > HeadBytes {
+	if size > keepBytes {
 		return make([]byte, size)
 	}
 	if cap(c.in) < size {
-		c.in = make([]byte, max(size, smallBytes))
+		c.in = make([]byte, max(size, outBytes))
 	}
 	return c.in[:size]
 }
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -62,6 +62,7 @@
 		return a.failed(retry.Unreached, "connect", err)
 	}
 	defer a.cancel(nil)
+	defer a.stream.Release()
 	defer a.stream.Close()
 	stop := context.AfterFunc(a.ctx, a.stream.Cancel)
 	defer stop()
@@ -98,6 +99,7 @@
 		return a.lost("send", err)
 	}
 	if a.x.body.length != 0 {
+		a.stream.Retain()
 		go a.sendBody(a.x.body.begin())
 	}
 	watch := a.watch()
@@ -144,6 +146,7 @@
 // sendBody sends the body; what can no longer be sent again only once the
 // sidecar has started the attempt.
 func (a *attempt) sendBody(epoch int) {
+	defer a.stream.Release()
 	for {
 		if !a.x.body.keeps(wire.BodyBytes) {
 			select {
--- a/internal/proxy/front/fence.go
+++ b/internal/proxy/front/fence.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer stream.Release()
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
--- a/internal/proxy/node/handle.go
+++ b/internal/proxy/node/handle.go
@@ -86,6 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer stream.Release()
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
@@ -108,8 +109,13 @@
 	if err != nil {
 		return err
 	}
+	defer far.Release()
 	defer far.Close()
+	conn.Retain()
+	far.Retain()
 	go func() {
+		defer conn.Release()
+		defer far.Release()
 		_, _ = io.Copy(far.Stream(), conn.Reader())
 		_ = far.Close()
 	}()
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -110,10 +110,11 @@
 	}
 	for {
 		a.timer.Reset(stallLimit)
-		n, err := r.Body.Read(a.conn.BodyBuffer())
+		buffer := a.conn.BodyBuffer()
+		n, err := r.Body.Read(buffer)
 		a.timer.Stop()
 		if n > 0 {
-			k.add(a.conn.BodyBuffer()[:n])
+			k.add(buffer[:n])
 			a.passBody(n)
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -78,6 +78,7 @@
 	defer a.cancel(nil)
 	a.body = newIntake(conn, head.ContentLength == 0, a.lost)
 	a.body.done = func() { s.Release(a.id) }
+	conn.Retain()
 	go a.body.run()
 	v, granted := a.wait(ctx)
 	if !granted {
--- a/internal/proxy/side/intake.go
+++ b/internal/proxy/side/intake.go
@@ -41,6 +41,7 @@
 
 // run receives until the stream ends.
 func (i *intake) run() {
+	defer i.conn.Release()
 	for {
 		frame, err := i.conn.Next()
 		if err == nil {
