wire, link: frames that belong together leave in one call

Cause: system calls led the profile (23% of all samples). yamux writes the header and the payload of each frame apart, and an answer was three frames: six calls where one will do. Change: link joins a data header with its payload; wire gathers head, body and end of a small answer of known length.

--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -284,7 +284,7 @@
 	if err != nil {
 		return nil, Peer{}, errors.Wrapf(err, "link: dial %s", address)
 	}
-	session, err := yamux.Client(raw, p.yamux())
+	session, err := yamux.Client(&joined{Conn: raw}, p.yamux())
 	if err != nil {
 		_ = raw.Close()
 		return nil, Peer{}, errors.Wrapf(err, "link: session with %s", address)
@@ -356,7 +356,7 @@
 
 // welcome answers the Hello of a session that a peer dialled.
 func (p *Pool) welcome(ctx context.Context, raw net.Conn) {
-	session, err := yamux.Server(raw, p.yamux())
+	session, err := yamux.Server(&joined{Conn: raw}, p.yamux())
 	if err != nil {
 		_ = raw.Close()
 		return
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -110,7 +110,10 @@
 		in     []byte
 		out    []byte
 		body   *bodyFrame
-		owners atomic.Int32
+		// kept holds frames back while gathers is set.
+		kept    []byte
+		gathers bool
+		owners  atomic.Int32
 	}
 
 	// bodyFrame is the space for one body frame, held only while a body flows.
@@ -147,6 +150,11 @@
 	}
 	c.stream = nil
 	c.reader.Reset(nil)
+	c.gathers = false
+	c.kept = c.kept[:0]
+	if cap(c.kept) > keepBytes {
+		c.kept = nil
+	}
 	if c.body != nil {
 		bodies.Put(c.body)
 		c.body = nil
@@ -200,8 +208,39 @@
 	if cap(frame) <= keepBytes {
 		c.out = frame[:0]
 	}
-	_, err = c.stream.Write(frame)
-	return errors.Wrapf(err, "wire: send kind %d", kind)
+	return errors.Wrapf(c.write(frame), "wire: send kind %d", kind)
+}
+
+// Gather keeps frames back until Flush, so that several small ones leave
+// together.
+func (c *Conn) Gather() {
+	c.gathers = true
+}
+
+// Flush sends what Gather kept back and ends the gathering.
+func (c *Conn) Flush() error {
+	c.gathers = false
+	if len(c.kept) == 0 {
+		return nil
+	}
+	kept := c.kept
+	c.kept = c.kept[:0]
+	_, err := c.stream.Write(kept)
+	return errors.Wrap(err, "wire: flush")
+}
+
+func (c *Conn) write(frame []byte) error {
+	if !c.gathers {
+		_, err := c.stream.Write(frame)
+		return err
+	}
+	c.kept = append(c.kept, frame...)
+	if len(c.kept) < BodyBytes {
+		return nil
+	}
+	err := c.Flush()
+	c.gathers = true
+	return err
 }
 
 // BodyBuffer returns the space that SendBody sends from, BodyBytes long.
@@ -217,8 +256,7 @@
 	frame := c.body[:prefixBytes+n]
 	frame[0] = byte(KindBody)
 	binary.BigEndian.PutUint32(frame[1:], uint32(n))
-	_, err := c.stream.Write(frame)
-	return errors.Wrap(err, "wire: send body")
+	return errors.Wrap(c.write(frame), "wire: send body")
 }
 
 // SendBytes sends a whole body, however long, as body frames.
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -22,6 +22,9 @@
 	// that its caller wants to read.
 	stallLimit = 30 * time.Second
 
+	// gatherBytes is the largest body that leaves together with its head.
+	gatherBytes = 16 << 10
+
 	outcomeHeader = "Figwick-Outcome"
 	outcomeNotRun = "not-run"
 	retryAfter    = "Retry-After"
@@ -59,6 +62,9 @@
 	for name := range r.Trailer {
 		head.TrailerNames = append(head.TrailerNames, name)
 	}
+	if r.ContentLength >= 0 && r.ContentLength <= gatherBytes {
+		a.conn.Gather()
+	}
 	a.pass(wire.KindResponseHead, head)
 	k := &kept{head: head, over: a.head.Repeatable}
 	if err := a.copyBody(r, k); err != nil {
@@ -73,6 +79,15 @@
 	k.trailers = wire.FromHeader(r.Trailer)
 	a.finish(judge(r), k.answer())
 	a.pass(wire.KindEnd, &wire.End{Trailers: k.trailers, Load: a.load()})
+	a.flush()
+}
+
+func (a *attempt) flush() {
+	a.sending.Lock()
+	defer a.sending.Unlock()
+	if !a.gone.Load() && a.conn.Flush() != nil {
+		a.gone.Store(true)
+	}
 }
 
 // shed tells whether a backend server refused the request for load and vouches
@@ -164,6 +179,7 @@
 }
 
 func (a *attempt) fail(step string, err error) {
+	defer a.flush()
 	a.pass(wire.KindFailure, &wire.Failure{Step: step, Detail: err.Error(), Load: a.load()})
 }
 
