--- a/internal/peer/wire/frame_test.go
+++ b/internal/peer/wire/frame_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -64,7 +65,7 @@
 			conn := wire.NewConn(p)
 			_, err := wire.Receive[wire.Fence](conn, wire.KindFence)
 			assert.Check(t, err != nil)
-			assert.Check(t, err != io.EOF)
+			assert.Check(t, !errors.Is(err, io.EOF))
 		})
 	}
 }
--- /dev/null
+++ b/internal/policy/health/measure_test.go
@@ -0,0 +1,414 @@
+package health_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/health"
+)
+
+const (
+	serviceTime = 20 * time.Millisecond
+	spread      = 0.5
+	deadline    = 2 * time.Second
+	slots       = 3
+	background  = 0.001
+	warm        = 8 * time.Second
+	tickEvery   = 50 * time.Millisecond
+)
+
+// detector is what ejects: figwick's Tracker or a baseline.
+type detector interface {
+	begin(now time.Time, server, id int)
+	finish(now time.Time, server, id int, r health.Result) []int
+	tick(now time.Time) []int
+	back(now time.Time, server int)
+}
+
+// tracker is figwick's.
+type tracker struct {
+	*health.Tracker
+	random *rand.Rand
+}
+
+func newTracker(threshold float64, servers int, random *rand.Rand) *tracker {
+	k := &tracker{health.New(health.Config{Threshold: threshold, Hold: time.Second, MaxHold: time.Second}), random}
+	for i := range servers {
+		k.Add(turn.Turn{}, name(i))
+	}
+	return k
+}
+
+func name(i int) ident.Backend    { return ident.Backend(strconv.Itoa(i)) }
+func attempt(i int) ident.Attempt { return ident.Attempt(strconv.Itoa(i)) }
+
+func (k *tracker) at(now time.Time) turn.Turn { return turn.Turn{Now: now, Random: k.random} }
+
+func (k *tracker) begin(now time.Time, server, id int) {
+	k.Begin(k.at(now), name(server), attempt(id))
+}
+
+func (k *tracker) finish(now time.Time, server, id int, r health.Result) []int {
+	return ejected(k.Finish(k.at(now), name(server), attempt(id), r))
+}
+
+func (k *tracker) tick(now time.Time) []int { return ejected(k.Tick(k.at(now))) }
+
+// back starts a server's judgement anew.
+func (k *tracker) back(now time.Time, server int) {
+	k.Drop(name(server))
+	k.Add(k.at(now), name(server))
+}
+
+func ejected(ops []health.Op) []int {
+	var list []int
+	for _, op := range ops {
+		if op.Action == health.Eject {
+			i, _ := strconv.Atoi(string(op.Server))
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// consecutive ejects after n failures in a row.
+type consecutive struct {
+	n      int
+	counts map[int]int
+}
+
+func (c *consecutive) begin(time.Time, int, int) {}
+func (c *consecutive) finish(_ time.Time, server, _ int, r health.Result) []int {
+	if r.Outcome == health.OK {
+		c.counts[server] = 0
+		return nil
+	}
+	c.counts[server]++
+	if c.counts[server] < c.n {
+		return nil
+	}
+	return []int{server}
+}
+func (c *consecutive) tick(time.Time) []int         { return nil }
+func (c *consecutive) back(_ time.Time, server int) { c.counts[server] = 0 }
+
+// window ejects where half of at least ten requests in ten seconds failed.
+type window struct {
+	total, failed map[int]int
+	until         time.Time
+}
+
+func (w *window) begin(time.Time, int, int) {}
+func (w *window) finish(now time.Time, server, _ int, r health.Result) []int {
+	const length, least, share = 10 * time.Second, 10, 0.5
+	if now.After(w.until) {
+		w.until = now.Add(length)
+		clear(w.total)
+		clear(w.failed)
+	}
+	w.total[server]++
+	if r.Outcome != health.OK {
+		w.failed[server]++
+	}
+	if w.total[server] >= least && float64(w.failed[server]) >= share*float64(w.total[server]) {
+		return []int{server}
+	}
+	return nil
+}
+func (w *window) tick(time.Time) []int { return nil }
+func (w *window) back(_ time.Time, server int) {
+	w.total[server], w.failed[server] = 0, 0
+}
+
+// outlier ejects a server whose mean latency is three times the median of all.
+type outlier struct{ mean []float64 }
+
+func (o *outlier) begin(time.Time, int, int) {}
+func (o *outlier) finish(_ time.Time, server, _ int, r health.Result) []int {
+	const weight, factor = 0.05, 3
+	x := r.Took.Seconds()
+	if o.mean[server] == 0 {
+		o.mean[server] = x
+	}
+	o.mean[server] += weight * (x - o.mean[server])
+	all := slices.Clone(o.mean)
+	slices.Sort(all)
+	if all[0] > 0 && o.mean[server] > factor*all[len(all)/2] {
+		return []int{server}
+	}
+	return nil
+}
+func (o *outlier) tick(time.Time) []int         { return nil }
+func (o *outlier) back(_ time.Time, server int) { o.mean[server] = 0 }
+
+// illness is what a case does to server 0, or to all.
+type illness struct {
+	name     string
+	failing  float64
+	slower   float64
+	hanging  bool
+	all      bool
+	flapping time.Duration
+	load     float64
+	healthy  bool
+}
+
+type event struct {
+	at     time.Time
+	kind   int
+	server int
+	id     int
+	result health.Result
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+const (
+	arrive = iota
+	finish
+	tick
+)
+
+// trial runs one case over generated samples.
+type trial struct {
+	sick    illness
+	servers int
+	random  *rand.Rand
+	judge   detector
+	now     time.Time
+	onset   time.Time
+	queue   events
+	busy    []int
+	waiting int
+	next    int
+}
+
+// run returns the time from the onset to the first ejection of server 0, and
+// how many ejections hit others, or hit anyone where nobody is sick.
+func (r *trial) run(warm, length time.Duration) (detected time.Duration, wrong int) {
+	r.now = time.Unix(1_000_000, 0)
+	r.onset = r.now.Add(warm)
+	end := r.onset.Add(length)
+	r.busy = make([]int, r.servers)
+	heap.Push(&r.queue, event{at: r.now, kind: arrive})
+	heap.Push(&r.queue, event{at: r.now, kind: tick})
+	for r.now.Before(end) {
+		e, _ := heap.Pop(&r.queue).(event)
+		r.now = e.at
+		for _, s := range r.step(e) {
+			r.judge.back(r.now, s)
+			if s == 0 && !r.sick.healthy && !r.sick.all && r.now.After(r.onset) {
+				return r.now.Sub(r.onset), wrong
+			}
+			wrong++
+		}
+	}
+	return -1, wrong
+}
+
+func (r *trial) step(e event) []int {
+	switch e.kind {
+	case arrive:
+		rate := r.sick.load * float64(r.servers*slots) / (serviceTime.Seconds() * math.Exp(spread*spread/2))
+		heap.Push(&r.queue, event{at: r.now.Add(time.Duration(r.random.ExpFloat64() / rate * 1e9)), kind: arrive})
+		if r.waiting < 4*r.servers {
+			r.waiting++
+		}
+		r.dispatch()
+		return nil
+	case finish:
+		r.busy[e.server]--
+		r.dispatch()
+		return r.judge.finish(r.now, e.server, e.id, e.result)
+	default:
+		heap.Push(&r.queue, event{at: r.now.Add(tickEvery), kind: tick})
+		return r.judge.tick(r.now)
+	}
+}
+
+// dispatch gives waiting requests to the least busy server with a free slot.
+func (r *trial) dispatch() {
+	for r.waiting > 0 {
+		order := r.random.Perm(r.servers)
+		best := slices.MinFunc(order, func(a, b int) int { return cmp.Compare(r.busy[a], r.busy[b]) })
+		if r.busy[best] >= slots {
+			return
+		}
+		r.waiting--
+		r.busy[best]++
+		r.next++
+		r.judge.begin(r.now, best, r.next)
+		took, outcome := r.sample(best)
+		heap.Push(&r.queue, event{
+			at: r.now.Add(took), kind: finish, server: best, id: r.next,
+			result: health.Result{Outcome: outcome, Took: took},
+		})
+	}
+}
+
+func (r *trial) sample(server int) (time.Duration, health.Outcome) {
+	took := time.Duration(float64(serviceTime) * math.Exp(spread*r.random.NormFloat64()))
+	outcome := health.OK
+	if r.random.Float64() < background {
+		outcome = health.Failed
+	}
+	if !r.ill(server) {
+		return took, outcome
+	}
+	if r.sick.hanging {
+		return deadline, health.Hung
+	}
+	took = time.Duration(float64(took) * max(1, r.sick.slower))
+	if r.random.Float64() < r.sick.failing {
+		outcome = health.Failed
+	}
+	if took > deadline {
+		return deadline, health.Hung
+	}
+	return took, outcome
+}
+
+func (r *trial) ill(server int) bool {
+	if r.now.Before(r.onset) || r.sick.healthy || server != 0 && !r.sick.all {
+		return false
+	}
+	return r.sick.flapping == 0 || r.now.Sub(r.onset)/r.sick.flapping%2 == 0
+}
+
+var detectors = []struct {
+	name string
+	make func(servers int, random *rand.Rand) detector
+}{
+	{"figwick, detection", func(n int, r *rand.Rand) detector { return newTracker(health.DetectionThreshold, n, r) }},
+	{"figwick, precision", func(n int, r *rand.Rand) detector { return newTracker(health.PrecisionThreshold, n, r) }},
+	{"5 consecutive failures", func(int, *rand.Rand) detector { return &consecutive{5, map[int]int{}} }},
+	{"error rate in a window", func(int, *rand.Rand) detector { return &window{total: map[int]int{}, failed: map[int]int{}} }},
+	{"latency outlier", func(n int, _ *rand.Rand) detector { return &outlier{make([]float64, n)} }},
+}
+
+var sickCases = []illness{
+	{name: "failing half", failing: 0.5},
+	{name: "failing all", failing: 1},
+	{name: "2x slower", slower: 2},
+	{name: "5x slower", slower: 5},
+	{name: "20x slower", slower: 20},
+	{name: "hanging", hanging: true},
+	{name: "flapping every 1 s, failing half", failing: 0.5, flapping: time.Second},
+	{name: "flapping every 5 s, failing half", failing: 0.5, flapping: 5 * time.Second},
+}
+
+var wellCases = []illness{
+	{name: "healthy", healthy: true, load: 0.5},
+	{name: "overload", healthy: true, load: 1.5},
+	{name: "quiet", healthy: true, load: 0.002},
+	{name: "whole service 5x slower", slower: 5, all: true, load: 0.5},
+	{name: "whole service failing half", failing: 0.5, all: true, load: 0.5},
+}
+
+func detect(c illness, servers, which int, seeds int) (times []time.Duration, wrong int) {
+	for seed := range seeds {
+		random := turn.Seeded(uint64(seed) + 1)
+		r := &trial{sick: c, servers: servers, random: random, judge: detectors[which].make(servers, random)}
+		d, w := r.run(warm, time.Minute)
+		if d < 0 {
+			d = time.Hour
+		}
+		times = append(times, d)
+		wrong += w
+	}
+	slices.Sort(times)
+	return times, wrong
+}
+
+// TestDetection holds the bounds that were stated before measuring: at normal
+// traffic, the preference for detection finds a server that fails all, or
+// hangs, within a second at the median, and a half failing one within two; the
+// preference for precision takes twice as long at most.
+func TestDetection(t *testing.T) {
+	for _, c := range []struct {
+		sick  illness
+		bound time.Duration
+	}{
+		{illness{name: "failing all", failing: 1, load: 0.5}, time.Second},
+		{illness{name: "failing half", failing: 0.5, load: 0.5}, 2 * time.Second},
+		{illness{name: "hanging", hanging: true, load: 0.5}, time.Second},
+		{illness{name: "5x slower", slower: 5, load: 0.5}, 2 * time.Second},
+	} {
+		for which, factor := range []time.Duration{1, 2} {
+			times, wrong := detect(c.sick, 15, which, 3)
+			assert.Check(t, times[1] <= factor*c.bound, "%s, %s: %v", detectors[which].name, c.sick.name, times)
+			assert.Check(t, wrong <= 1-which, "%s, %s: %d wrong ejections", detectors[which].name, c.sick.name, wrong)
+		}
+	}
+}
+
+// TestNoFalseEjection: with the preference for precision, nobody is ejected
+// from a service that is well, overloaded, or sick as a whole.
+func TestNoFalseEjection(t *testing.T) {
+	for _, servers := range []int{9, 15} {
+		for _, c := range wellCases {
+			random := turn.Seeded(7)
+			r := &trial{sick: c, servers: servers, random: random, judge: detectors[1].make(servers, random)}
+			_, wrong := r.run(warm, 20*time.Second)
+			assert.Check(t, wrong == 0, "%s with %d servers: %d", c.name, servers, wrong)
+		}
+	}
+}
+
+// TestDetectionTable prints the table of docs/BENCHMARKS.md. FIGWICK_TABLE is
+// the minutes of each run without a sick server.
+func TestDetectionTable(t *testing.T) {
+	minutes, err := strconv.Atoi(os.Getenv("FIGWICK_TABLE"))
+	if err != nil {
+		t.Skip("set FIGWICK_TABLE")
+	}
+	for _, load := range []float64{0.05, 0.5, 0.95} {
+		for _, c := range sickCases {
+			c.load = load
+			for which := range detectors {
+				times, _ := detect(c, 15, which, 20)
+				fmt.Printf("| %.0f%% | %s | %s | %s | %s |\n", 100*load, c.name, detectors[which].name,
+					show(times[len(times)/2]), show(times[len(times)-1]))
+			}
+		}
+	}
+	for _, c := range wellCases {
+		for which := range detectors {
+			random := turn.Seeded(99)
+			r := &trial{sick: c, servers: 15, random: random, judge: detectors[which].make(15, random)}
+			length := time.Duration(minutes) * time.Minute
+			_, wrong := r.run(warm, length)
+			days := 15 * length.Hours() / 24
+			fmt.Printf("| %s | %s | %d | %.1f |\n", c.name, detectors[which].name, wrong, float64(wrong)/days)
+		}
+	}
+}
+
+func show(d time.Duration) string {
+	if d >= time.Hour {
+		return "not within 60 s"
+	}
+	return d.Round(10 * time.Millisecond).String()
+}
--- /dev/null
+++ b/internal/policy/limit/limit_test.go
@@ -0,0 +1,132 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/policy/limit"
+)
+
+const (
+	rate  = 100.0
+	burst = 20.0
+	beat  = 10 * time.Millisecond
+)
+
+// fleet is ingresses that share one caller's rate, with homes that a test can
+// take away.
+type fleet struct {
+	now     time.Time
+	locals  []*limit.Local
+	homes   []*limit.Home
+	homeOf  []int
+	load    []float64
+	due     []float64
+	allowed int
+}
+
+var key = limit.Key{Service: "shop", Caller: "chandler"}
+
+func newFleet(loads ...float64) *fleet {
+	f := &fleet{now: time.Unix(1_000_000, 0), load: loads, due: make([]float64, len(loads)), homeOf: make([]int, len(loads))}
+	for range loads {
+		f.locals = append(f.locals, &limit.Local{Nodes: len(loads)})
+	}
+	f.homes = []*limit.Home{{}}
+	return f
+}
+
+// run passes time: requests come evenly, shares are asked for each second.
+func (f *fleet) run(length time.Duration) float64 {
+	f.allowed = 0
+	for step := range int(length / beat) {
+		f.now = f.now.Add(beat)
+		for i, l := range f.locals {
+			f.due[i] += f.load[i] * beat.Seconds()
+			for ; f.due[i] >= 1; f.due[i]-- {
+				if ok, _ := l.Allow(f.now, key, limit.Rate{PerSecond: rate, Burst: burst}); ok {
+					f.allowed++
+				}
+			}
+			if step%100 == i%100 && f.homeOf[i] >= 0 {
+				f.ask(i, l)
+			}
+		}
+	}
+	return float64(f.allowed) / length.Seconds()
+}
+
+func (f *fleet) ask(i int, l *limit.Local) {
+	for _, d := range l.Demands(f.now) {
+		share := f.homes[f.homeOf[i]].Assign(f.now, ident.Node(fmt.Sprint(i)), d)
+		l.Granted(f.now, share)
+	}
+}
+
+// TestLimitHolds states the bounds: what is let through is never over the rate
+// by more than BaseFraction, and is at least 85% of it where there is demand.
+func TestLimitHolds(t *testing.T) {
+	const most = rate * (1 + limit.BaseFraction)
+	for _, c := range []struct {
+		name  string
+		loads []float64
+	}{
+		{"even", []float64{100, 100, 100, 100}},
+		{"all at one node", []float64{400, 0, 0, 0}},
+		{"skewed", []float64{300, 30, 10, 0}},
+		{"many nodes", []float64{50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(c.loads...)
+			f.run(20 * time.Second)
+			got := f.run(60 * time.Second)
+			t.Logf("%.1f of %.0f a second", got, rate)
+			assert.Check(t, got <= most+burst/60, "%.1f", got)
+			assert.Check(t, got >= 0.85*rate, "%.1f", got)
+		})
+	}
+	t.Run("shares follow the demand", func(t *testing.T) {
+		f := newFleet(400, 0, 0)
+		f.run(20 * time.Second)
+		f.load = []float64{0, 0, 400}
+		f.run(15 * time.Second)
+		got := f.run(30 * time.Second)
+		t.Logf("%.1f of %.0f a second", got, rate)
+		assert.Check(t, got <= most+1 && got >= 0.85*rate, "%.1f", got)
+	})
+	t.Run("below the limit nobody is refused", func(t *testing.T) {
+		f := newFleet(30, 20, 10)
+		f.run(20 * time.Second)
+		got := f.run(60 * time.Second)
+		assert.Check(t, got >= 0.99*60, "%.1f", got)
+	})
+	t.Run("a new home grants nothing until the old shares have lapsed", func(t *testing.T) {
+		f := newFleet(100, 100, 100)
+		f.run(20 * time.Second)
+		f.homes = append(f.homes, &limit.Home{Since: f.now})
+		f.homeOf = []int{1, 1, 1}
+		got := f.run(limit.Lease)
+		assert.Check(t, got <= most+burst/limit.Lease.Seconds(), "%.1f", got)
+	})
+	t.Run("both halves of a split keep to their part", func(t *testing.T) {
+		f := newFleet(200, 200, 200, 200)
+		f.run(20 * time.Second)
+		f.homes = []*limit.Home{{Visible: 0.5}, {Visible: 0.5, Since: f.now}}
+		f.homeOf = []int{0, 0, 1, 1}
+		f.run(20 * time.Second)
+		got := f.run(60 * time.Second)
+		t.Logf("%.1f of %.0f a second", got, rate)
+		assert.Check(t, got <= most+1, "%.1f", got)
+		assert.Check(t, got >= 0.85*rate, "%.1f", got)
+	})
+	t.Run("without any home only the base passes", func(t *testing.T) {
+		f := newFleet(200, 200)
+		f.homeOf = []int{-1, -1}
+		got := f.run(60 * time.Second)
+		assert.Check(t, got <= rate*limit.BaseFraction+1, "%.1f", got)
+	})
+}
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -8,7 +8,7 @@
 	percent     = 100.0
 )
 
-// Budget is the retries and hedges that one node may still cause for one
+// Budget is the retries that one node may still cause for one
 // service. The zero value is ready. It is not safe for concurrent use.
 type Budget struct {
 	begun  bool
--- a/internal/policy/retry/doc.go
+++ b/internal/policy/retry/doc.go
@@ -1,4 +1,4 @@
-// Package retry bounds how much extra work retries and hedges may cause.
+// Package retry bounds how much extra work retries may cause.
 //
 // A Budget earns a fraction of a token with every request and spends a whole
 // one with every attempt that may run the request again. Attempts that were
--- a/internal/state/config/file.go
+++ b/internal/state/config/file.go
@@ -68,8 +68,6 @@
 		Attempts int `yaml:"attempts" json:"attempts"`
 		// BudgetPercent is retries and hedges as a share of requests.
 		BudgetPercent float64 `yaml:"budget-percent" json:"budget-percent"`
-		// Hedge is when a second attempt joins a slow first; zero is never.
-		Hedge time.Duration `yaml:"hedge-after" json:"hedge-after"`
 	}
 
 	// Route sets what differs for some paths and methods of a service.
