--- /dev/null
+++ b/internal/state/accept/bench_test.go
@@ -0,0 +1,69 @@
+package accept_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/fake/kvs"
+	"github.com/figwick/figwick/internal/state/accept"
+)
+
+// BenchmarkConfig reports what a configuration costs a node, for parts of the
+// target's 7,900 services, 210,000 routes and 530,000 organisations.
+func BenchmarkConfig(b *testing.B) {
+	for _, part := range []int{16, 4, 1} {
+		b.Run(fmt.Sprintf("one-part-in-%d", part), func(b *testing.B) { measureConfig(b, part) })
+	}
+}
+
+func measureConfig(b *testing.B, part int) {
+	file := targetFile(7900/part, 27, 530_000/part)
+	s := kvs.New(clockwork.NewFakeClock())
+	a := accept.Acceptor{Store: s, Clock: instant{}}
+	began := time.Now()
+	if _, err := a.Apply(context.Background(), accept.Request{File: file, Apply: ident.NewApply()}); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(time.Since(began).Seconds()*1000, "ms-to-apply")
+	b.ReportMetric(float64(s.Counts().Writes), "store-writes")
+	fetch := func(ctx context.Context, names []string) (map[string][]byte, error) {
+		found := map[string][]byte{}
+		for _, name := range names {
+			item, err := s.Get(ctx, accept.ChunkKey(name))
+			if err != nil {
+				return nil, err
+			}
+			found[name] = item.Value
+		}
+		return found, nil
+	}
+	item, err := s.Get(context.Background(), accept.HeadKey)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(item.Value))/1e3, "kB-head")
+	before := inUse()
+	began = time.Now()
+	node, table, err := (&accept.Adopter{}).Offer(context.Background(), item.Value, fetch)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(time.Since(began).Seconds()*1000, "ms-to-adopt")
+	b.ReportMetric(float64(inUse()-before)/1e6, "MB-in-force")
+	runtime.KeepAlive(node)
+	runtime.KeepAlive(table)
+	b.ReportMetric(0, "ns/op")
+}
+
+func inUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse)
+}
