accept, config: a node reads only the chunks that changed

Change: chunks stay compiled from revision to revision; callers' limits are a sorted table of hashes for each chunk, found by the bucket of the caller's hash; chunk texts are kept packed for peers; the whole file is put together only when an operator asks.

--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -57,7 +57,7 @@
 const (
 	// DetectionThreshold is the sum at which a service that prefers detection
 	// raises an alarm.
-	DetectionThreshold = 12.0
+	DetectionThreshold = 14.0
 	// PrecisionThreshold is the same for a service that prefers precision.
 	PrecisionThreshold = 20.0
 	// TrialAnswers is how many good answers in a row end a trial.
@@ -312,7 +312,7 @@
 		if k.confirmLatency(t, s, level) {
 			return k.eject(t, s, ForLatency, s.latencyOnset)
 		}
-	case ages >= k.config.Threshold:
+	case ages > 0 && ages+s.failureSum >= k.config.Threshold:
 		if k.confirmAges(t, s, level) {
 			return k.eject(t, s, ForHanging, s.oldest(t.Now))
 		}
@@ -358,7 +358,7 @@
 // confirmAges does the same for requests in flight.
 func (k *Tracker) confirmAges(t turn.Turn, s *server, level Level) bool {
 	level = k.levelSince(t, s, level, s.oldest(t.Now))
-	return s.ageSum(level, t.Now) >= k.config.Threshold
+	return s.ageSum(level, t.Now)+s.failureSum >= k.config.Threshold
 }
 
 // levelSince moves a level to what the other servers did since a moment. Their
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -254,7 +254,7 @@
 func (x *exchange) acceptLimit() bool {
 	e := x.match.Entry
 	caller := x.caller()
-	l, limited := e.Limit(caller)
+	l, limited := x.match.Table.Limit(e, caller)
 	if !limited {
 		return true
 	}
--- a/internal/proxy/node/admin.go
+++ b/internal/proxy/node/admin.go
@@ -95,17 +95,22 @@
 
 // adminGet returns the file in force, as YAML unless JSON is asked for.
 func (n *Node) adminGet(c iris.Context) {
-	table := n.front.Table()
-	if table == nil {
+	current := n.configs.current()
+	if current.Revision() == 0 {
 		answerJSON(c, http.StatusNotFound, Applied{Detail: "no configuration is in force"})
 		return
 	}
-	c.Header("Figwick-Revision", strconv.FormatUint(uint64(table.Revision), 10))
+	file, err := current.File()
+	if err != nil {
+		answerJSON(c, http.StatusInternalServerError, Applied{Detail: err.Error()})
+		return
+	}
+	c.Header("Figwick-Revision", strconv.FormatUint(uint64(current.Revision()), 10))
 	if c.URLParam("format") == "json" {
-		answerJSON(c, http.StatusOK, table.File)
+		answerJSON(c, http.StatusOK, file)
 		return
 	}
-	text, err := yaml.Marshal(table.File)
+	text, err := yaml.Marshal(file)
 	if err != nil {
 		answerJSON(c, http.StatusInternalServerError, Applied{Detail: err.Error()})
 		return
@@ -193,11 +198,12 @@
 	if !ok {
 		return
 	}
-	var current config.File
-	if table := n.front.Table(); table != nil {
-		current = *table.File
+	current, err := n.configs.current().File()
+	if err != nil {
+		answerJSON(c, http.StatusInternalServerError, Applied{Detail: err.Error()})
+		return
 	}
-	answerJSON(c, http.StatusOK, diff(&current, file))
+	answerJSON(c, http.StatusOK, diff(current, file))
 }
 
 func diff(current, next *config.File) []Difference {
--- a/internal/proxy/node/status.go
+++ b/internal/proxy/node/status.go
@@ -178,11 +178,10 @@
 	if table == nil {
 		return []ServiceStatus{}
 	}
-	statuses := make([]ServiceStatus, len(table.File.Services))
+	statuses := make([]ServiceStatus, len(table.Services()))
 	var group errgroup.Group
 	group.SetLimit(statusCalls)
-	for i := range table.File.Services {
-		s := &table.File.Services[i]
+	for i, s := range table.Services() {
 		group.Go(func() error {
 			records, known := n.directory.ask(ctx, s.Name)
 			status := ServiceStatus{Name: s.Name, Floor: s.Floor, Known: known, Sidecars: len(records)}
--- a/internal/state/accept/adopt.go
+++ b/internal/state/accept/adopt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +20,7 @@
 	Adopter struct {
 		head   Head
 		text   []byte
-		chunks map[string][]byte
+		chunks map[string]*chunk
 	}
 )
 
@@ -42,13 +41,30 @@
 func (a *Adopter) Chunks(names []string) map[string][]byte {
 	found := make(map[string][]byte, len(names))
 	for _, name := range names {
-		if text, ok := a.chunks[name]; ok {
+		c, here := a.chunks[name]
+		if !here {
+			continue
+		}
+		if text, err := c.text(); err == nil {
 			found[name] = text
 		}
 	}
 	return found
 }
 
+// File puts the whole file together. It is dear at large sizes.
+func (a *Adopter) File() (*config.File, error) {
+	texts := make([][]byte, 0, len(a.chunks))
+	for name, c := range a.chunks {
+		text, err := c.text()
+		if err != nil {
+			return nil, errors.Wrapf(err, "accept: chunk %s", name)
+		}
+		texts = append(texts, text)
+	}
+	return join(texts)
+}
+
 // Offer takes the text of a Head, fetches the chunks that are missing and
 // returns the Adopter that follows, with the Table to put in force. It only
 // follows to higher revisions.
@@ -64,20 +80,31 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	file, err := Join(slices.Collect(maps.Values(chunks)))
-	if err != nil {
-		return nil, nil, err
-	}
 	next := &Adopter{head: head, text: text, chunks: chunks}
-	return next, config.Compile(head.Revision, file), nil
+	return next, next.table(), nil
+}
+
+// table assembles what the chunks hold. Services of chunks that stayed are used
+// as they are.
+func (a *Adopter) table() *config.Table {
+	var entries []*config.Entry
+	limits := &bucketLimits{buckets: make([]*chunk, len(a.head.Chunks))}
+	for i, name := range a.head.Chunks {
+		limits.buckets[i] = a.chunks[name]
+		entries = append(entries, a.chunks[name].entries...)
+	}
+	return config.Assemble(a.head.Revision, entries, limits)
 }
 
-// gather returns all chunks of a Head, fetching only those not here.
-func (a *Adopter) gather(ctx context.Context, head Head, fetch Fetch) (map[string][]byte, error) {
-	chunks := a.Chunks(head.Chunks)
+// gather returns all chunks of a Head, fetching and reading only those not
+// here.
+func (a *Adopter) gather(ctx context.Context, head Head, fetch Fetch) (map[string]*chunk, error) {
+	chunks := make(map[string]*chunk, len(head.Chunks))
 	var missing []string
 	for _, name := range head.Chunks {
-		if _, here := chunks[name]; !here {
+		if c, here := a.chunks[name]; here {
+			chunks[name] = c
+		} else if !slices.Contains(missing, name) {
 			missing = append(missing, name)
 		}
 	}
@@ -87,14 +114,10 @@
 			return nil, errors.Wrapf(err, "accept: fetch revision %d", head.Revision)
 		}
 		before := len(missing)
-		missing = slices.DeleteFunc(missing, func(name string) bool {
-			text, got := fetched[name]
-			if !got || !Verify(name, text) {
-				return false
-			}
-			chunks[name] = text
-			return true
-		})
+		missing, err = take(chunks, missing, fetched)
+		if err != nil {
+			return nil, err
+		}
 		if len(missing) == before {
 			return nil, errors.Newf("accept: revision %d lacks chunk %s", head.Revision, missing[0])
 		}
@@ -102,6 +125,24 @@
 	return chunks, nil
 }
 
+// take reads the chunks that were fetched and returns the names still missing.
+func take(chunks map[string]*chunk, missing []string, fetched map[string][]byte) ([]string, error) {
+	var left []string
+	for _, name := range missing {
+		text, got := fetched[name]
+		if !got || !Verify(name, text) {
+			left = append(left, name)
+			continue
+		}
+		c, err := readChunk(text)
+		if err != nil {
+			return nil, errors.Wrapf(err, "accept: chunk %s", name)
+		}
+		chunks[name] = c
+	}
+	return left, nil
+}
+
 // ChunkKey is where a chunk stands in the store.
 func ChunkKey(name string) string {
 	return chunkPrefix + name
--- a/internal/state/accept/bench_test.go
+++ b/internal/state/accept/bench_test.go
@@ -56,6 +56,18 @@
 	}
 	b.ReportMetric(time.Since(began).Seconds()*1000, "ms-to-adopt")
 	b.ReportMetric(float64(inUse()-before)/1e6, "MB-in-force")
+	file.Services[3].Floor++
+	if _, err := a.Apply(context.Background(), accept.Request{File: file, Apply: ident.NewApply()}); err != nil {
+		b.Fatal(err)
+	}
+	if item, err = s.Get(context.Background(), accept.HeadKey); err != nil {
+		b.Fatal(err)
+	}
+	began = time.Now()
+	if node, table, err = node.Offer(context.Background(), item.Value, fetch); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(time.Since(began).Seconds()*1000, "ms-to-adopt-a-change")
 	runtime.KeepAlive(node)
 	runtime.KeepAlive(table)
 	b.ReportMetric(0, "ns/op")
--- a/internal/state/accept/chunk.go
+++ b/internal/state/accept/chunk.go
@@ -93,15 +93,15 @@
 
 func fillBuckets(records []keyed, count int) ([][]byte, error) {
 	buckets := make([][]json.RawMessage, count)
+	for i := range buckets {
+		buckets[i] = []json.RawMessage{}
+	}
 	for _, r := range records {
-		n := xxhash.Sum64String(r.key) % uint64(count)
+		n := bucketOf(xxhash.Sum64String(r.key), count)
 		buckets[n] = append(buckets[n], r.text)
 	}
 	chunks := make([][]byte, 0, count)
 	for _, bucket := range buckets {
-		if len(bucket) == 0 {
-			continue
-		}
 		text, err := json.Marshal(bucket)
 		if err != nil {
 			return nil, errors.Wrap(err, "accept: encode chunk")
@@ -111,6 +111,11 @@
 	return chunks, nil
 }
 
+// bucketOf is the place of a record among so many buckets.
+func bucketOf(hash uint64, count int) int {
+	return int(hash % uint64(count))
+}
+
 func largest(chunks [][]byte) int {
 	most := 0
 	for _, c := range chunks {
@@ -119,8 +124,8 @@
 	return most
 }
 
-// Join puts a file together from its chunks.
-func Join(chunks [][]byte) (*config.File, error) {
+// join puts a file together from its chunks.
+func join(chunks [][]byte) (*config.File, error) {
 	var records []record
 	for _, text := range chunks {
 		var some []record
--- a/internal/state/config/table.go
+++ b/internal/state/config/table.go
@@ -1,8 +1,10 @@
 package config
 
 import (
+	"cmp"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,24 +14,31 @@
 const anyMethod = "*"
 
 type (
-	// Table is a File made ready for requests. It is immutable.
+	// Table is a configuration made ready for requests. It is immutable.
 	Table struct {
 		Revision ident.Revision
-		File     *File
+		services []*Entry
 		byHost   map[string]*Entry
 		byName   map[ident.Service]*Entry
+		callers  CallerLimits
 	}
 
-	// Entry is one service of a Table.
+	// Entry is one service of a Table. Its own list of callers is empty: their
+	// limits are the Table's.
 	Entry struct {
 		*Service
 		routes  map[string]*Route
 		allowed []allowed
-		callers map[ident.Caller]Limit
+	}
+
+	// CallerLimits finds the limit of a single caller.
+	CallerLimits interface {
+		Find(service ident.Service, caller ident.Caller) (Limit, bool)
 	}
 
 	// Match is what a request's host, path and method lead to.
 	Match struct {
+		Table      *Table
 		Entry      *Entry
 		Repeatable bool
 		Deadline   time.Duration
@@ -44,14 +53,31 @@
 
 // Compile makes a checked file ready for requests.
 func Compile(revision ident.Revision, file *File) *Table {
+	entries := make([]*Entry, len(file.Services))
+	callers := &Callers{}
+	for i := range file.Services {
+		s := file.Services[i]
+		for _, c := range s.Limits.Callers {
+			callers.Add(s.Name, c)
+		}
+		s.Limits.Callers = nil
+		entries[i] = CompileService(&s)
+	}
+	callers.Sort()
+	return Assemble(revision, entries, callers)
+}
+
+// Assemble makes a Table of services that are compiled already.
+func Assemble(revision ident.Revision, entries []*Entry, callers CallerLimits) *Table {
 	t := &Table{
 		Revision: revision,
-		File:     file,
-		byHost:   map[string]*Entry{},
-		byName:   map[ident.Service]*Entry{},
+		services: entries,
+		byHost:   make(map[string]*Entry, len(entries)),
+		byName:   make(map[ident.Service]*Entry, len(entries)),
+		callers:  callers,
 	}
-	for i := range file.Services {
-		e := compileService(&file.Services[i])
+	slices.SortFunc(entries, func(a, b *Entry) int { return cmp.Compare(a.Name, b.Name) })
+	for _, e := range entries {
 		t.byName[e.Name] = e
 		for _, host := range e.Hosts {
 			t.byHost[host] = e
@@ -60,12 +86,9 @@
 	return t
 }
 
-func compileService(s *Service) *Entry {
-	e := &Entry{
-		Service: s,
-		routes:  map[string]*Route{},
-		callers: map[ident.Caller]Limit{},
-	}
+// CompileService makes one service ready for requests.
+func CompileService(s *Service) *Entry {
+	e := &Entry{Service: s, routes: make(map[string]*Route, len(s.Routes))}
 	for i := range s.Routes {
 		r := &s.Routes[i]
 		for _, method := range methodsOf(r) {
@@ -77,9 +100,6 @@
 		ips, _ := netip.ParsePrefix(a.Addresses)
 		e.allowed = append(e.allowed, allowed{id: id, prefix: prefix || a.ID == "", ips: ips})
 	}
-	for _, c := range s.Limits.Callers {
-		e.callers[c.ID] = Limit{Rate: c.Rate, Burst: c.Burst}
-	}
 	return e
 }
 
@@ -102,6 +122,11 @@
 	return t.byName[name]
 }
 
+// Services returns all services, by name.
+func (t *Table) Services() []*Entry {
+	return t.services
+}
+
 // Match finds the service of a request. The host may carry a port.
 func (t *Table) Match(host, method, path string) (Match, bool) {
 	if t == nil {
@@ -111,7 +136,7 @@
 	if !found {
 		return Match{}, false
 	}
-	m := Match{Entry: e, Repeatable: safe(method), Deadline: e.Deadline}
+	m := Match{Table: t, Entry: e, Repeatable: safe(method), Deadline: e.Deadline}
 	r := e.route(method, path)
 	if r == nil {
 		return m, true
@@ -154,13 +179,12 @@
 	return false
 }
 
-// Limit returns the limit of one caller and whether there is one.
-func (e *Entry) Limit(caller ident.Caller) (Limit, bool) {
-	limit, listed := e.callers[caller]
-	if !listed {
-		limit = e.Limits.Default
+// Limit returns the limit of one caller of a service and whether there is one.
+func (t *Table) Limit(e *Entry, caller ident.Caller) (Limit, bool) {
+	if limit, listed := t.callers.Find(e.Name, caller); listed {
+		return limit, true
 	}
-	return limit, listed || limit.Rate > 0
+	return e.Limits.Default, e.Limits.Default.Rate > 0
 }
 
 func (a allowed) matches(id string, ip netip.Addr) bool {
