index, node: directory records that have not changed are not sent again

Cause: at the target size an ingress asks for the records of some 50 services every 2 s; whole records of 25 sidecars are some 1.6 kB each, against a budget of 2 KB a second for all control. Change: a put that changes nothing is a touch by digest; a get names the digest of what the same owner gave last, and unchanged records are answered by it as long as all are fresh. Conclusion: what is left grows with services used, not with their sidecars.

--- a/internal/proxy/node/directory.go
+++ b/internal/proxy/node/directory.go
@@ -36,19 +36,30 @@
 		wants  map[ident.Service]time.Time
 		owners map[ident.Service][]string
 		known  map[ident.Service]map[string]remembered
+		source map[ident.Service]source
 	}
 
 	// remembered is a record and when its node put it.
 	remembered struct {
 		record *wire.ServiceRecord
 		put    time.Time
+		// current tells that it came with the last answer.
+		current bool
 	}
 
-	// put is the last record that was put for a service.
+	// put is the last record that was put for a service. A touch only renews it.
 	put struct {
 		record *wire.ServiceRecord
+		digest uint64
 		owners []string
 		at     time.Time
+		touch  bool
+	}
+
+	// source is the owner that a service's records came from, and their digest.
+	source struct {
+		owner  string
+		digest uint64
 	}
 )
 
@@ -67,6 +78,10 @@
 	for _, p := range puts {
 		for _, address := range p.owners {
 			b := batch(address)
+			if p.touch {
+				b.Touches = append(b.Touches, &wire.Touch{Service: p.record.Service, Digest: p.digest})
+				continue
+			}
 			b.Puts = append(b.Puts, p.record)
 		}
 	}
@@ -75,8 +90,9 @@
 		if len(owners) == 0 {
 			continue
 		}
-		b := batch(d.choose(name, owners))
-		b.Gets = append(b.Gets, string(name))
+		owner := d.choose(name, owners)
+		b := batch(owner)
+		b.Gets = append(b.Gets, &wire.Get{Service: string(name), Digest: d.digestOf(name, owner)})
 	}
 	for address, b := range batches {
 		go d.exchange(ctx, address, b)
@@ -132,15 +148,28 @@
 func (d *directory) due(now time.Time, name ident.Service, r *wire.ServiceRecord) *put {
 	owners := addresses(d.node.fleet.ownersOf(string(name), index.Owners))
 	last, known := d.puts[name]
+	same := known && slices.Equal(owners, last.owners) && equalRecords(last.record, r)
 	handingOver := d.node.state.Load() == phaseHandingOver
-	if known && !handingOver && now.Sub(last.at) < index.PutEvery && slices.Equal(owners, last.owners) && equalRecords(last.record, r) {
+	if same && !handingOver && now.Sub(last.at) < index.PutEvery {
 		return nil
 	}
-	p := &put{record: r, owners: owners, at: now}
+	record := fromRecord(r)
+	p := &put{record: r, digest: record.Digest(), owners: owners, at: now, touch: same && !handingOver}
 	d.puts[name] = p
 	return p
 }
 
+// digestOf returns the digest of what an owner gave last, if it was the last to
+// give.
+func (d *directory) digestOf(name ident.Service, owner string) uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if from := d.source[name]; from.owner == owner {
+		return from.digest
+	}
+	return 0
+}
+
 // dueGets returns the services wanted by callers here, or served from here.
 func (d *directory) dueGets() []ident.Service {
 	now := d.node.config.Clock.Now()
@@ -176,12 +205,57 @@
 		return
 	}
 	d.moved(reply.Moved)
+	d.putAgain(reply.Unknown)
 	byService := map[string][]*wire.ServiceRecord{}
 	for _, r := range reply.Records {
 		byService[r.Service] = append(byService[r.Service], r)
 	}
-	for _, name := range b.Gets {
-		d.learn(ident.Service(name), byService[name])
+	for i, get := range b.Gets {
+		if i >= len(reply.Found) {
+			return
+		}
+		name := ident.Service(get.Service)
+		if get.Digest != 0 && reply.Found[i] == get.Digest {
+			d.learn(name, d.renewed(name))
+			continue
+		}
+		d.learn(name, byService[get.Service])
+		d.from(name, source{owner: address, digest: reply.Found[i]})
+	}
+}
+
+func (d *directory) from(name ident.Service, s source) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.source == nil {
+		d.source = map[ident.Service]source{}
+	}
+	d.source[name] = s
+}
+
+// renewed returns the records of a service that an owner says are unchanged and
+// fresh.
+func (d *directory) renewed(name ident.Service) []*wire.ServiceRecord {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var records []*wire.ServiceRecord
+	for _, k := range d.known[name] {
+		if !k.current {
+			continue
+		}
+		r := k.record
+		r.AgeMs = index.Fresh.Milliseconds()
+		records = append(records, r)
+	}
+	return records
+}
+
+// putAgain makes whole records due that an owner does not have.
+func (d *directory) putAgain(names []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, name := range names {
+		delete(d.puts, ident.Service(name))
 	}
 }
 
@@ -189,9 +263,10 @@
 func (d *directory) failed(address string, b *wire.Directory) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for _, name := range b.Gets {
-		d.wants[ident.Service(name)] = time.Time{}
-		d.owners[ident.Service(name)] = append(d.owners[ident.Service(name)], address)
+	for _, get := range b.Gets {
+		name := ident.Service(get.Service)
+		d.wants[name] = time.Time{}
+		d.owners[name] = append(d.owners[name], address)
 	}
 	for _, r := range b.Puts {
 		if p, found := d.puts[ident.Service(r.Service)]; found {
@@ -230,11 +305,18 @@
 		d.known[name] = map[string]remembered{}
 	}
 	known := d.known[name]
+	for node, k := range known {
+		k.current = false
+		known[node] = k
+	}
 	for _, r := range records {
 		put := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
-		if old, found := known[r.Node]; !found || put.After(old.put) {
-			known[r.Node] = remembered{record: r, put: put}
+		k, found := known[r.Node]
+		if !found || put.After(k.put) {
+			k = remembered{record: r, put: put}
 		}
+		k.current = true
+		known[r.Node] = k
 	}
 	var good []*wire.ServiceRecord
 	for _, node := range slices.Sorted(maps.Keys(known)) {
@@ -271,8 +353,22 @@
 			reply.Moved = append(reply.Moved, &wire.BackendMark{Id: string(m.ID), Incarnation: uint64(m.Incarnation)})
 		}
 	}
-	for _, name := range b.Gets {
-		for _, f := range d.index.Get(now, ident.Service(name)) {
+	for _, t := range b.Touches {
+		if !d.index.Touch(now, ident.Service(t.Service), ident.Node(b.From), t.Digest) {
+			reply.Unknown = append(reply.Unknown, t.Service)
+		}
+	}
+	for _, get := range b.Gets {
+		name := ident.Service(get.Service)
+		digest, fresh := d.index.Digest(now, name)
+		reply.Found = append(reply.Found, digest)
+		if fresh && digest != 0 && digest == get.Digest {
+			continue
+		}
+		if digest == get.Digest {
+			reply.Found[len(reply.Found)-1] = 0
+		}
+		for _, f := range d.index.Get(now, name) {
 			reply.Records = append(reply.Records, toFound(&f))
 		}
 	}
@@ -290,7 +386,7 @@
 	for i, owner := range owners {
 		asked.Go(func() {
 			replies[i], _ = ask[wire.DirectoryReply](ctx, d.node, owner.Address, wire.KindDirectory,
-				&wire.Directory{From: string(d.node.config.ID), Gets: []string{string(name)}}, wire.KindDirectoryReply)
+				&wire.Directory{From: string(d.node.config.ID), Gets: []*wire.Get{{Service: string(name)}}}, wire.KindDirectoryReply)
 		})
 	}
 	asked.Wait()
--- /dev/null
+++ b/internal/state/index/digest.go
@@ -0,0 +1,35 @@
+package index
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Digest sums up a Record. Records that differ in anything have other digests.
+func (r *Record) Digest() uint64 {
+	d := xxhash.New()
+	text := func(s string) {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	number := func(n uint64) {
+		var raw [8]byte
+		binary.BigEndian.PutUint64(raw[:], n)
+		_, _ = d.Write(raw[:])
+	}
+	text(string(r.Service))
+	text(string(r.Node))
+	text(r.Address)
+	text(string(r.Zone))
+	number(uint64(r.Slots))
+	if r.Leaving {
+		number(1)
+	}
+	for _, m := range r.Backends {
+		text(string(m.ID))
+		number(uint64(m.Incarnation))
+		number(uint64(m.Standing))
+	}
+	return d.Sum64()
+}
--- a/internal/state/index/index.go
+++ b/internal/state/index/index.go
@@ -13,6 +13,8 @@
 	Owners = 3
 	// PutEvery is the longest time between two puts of a record.
 	PutEvery = 5 * time.Second
+	// Fresh is the age up to which unchanged records need not be given again.
+	Fresh = PutEvery + 2*time.Second
 	// Lease is how long a record is good.
 	Lease = 15 * time.Second
 )
@@ -74,7 +76,8 @@
 
 	held struct {
 		Record
-		put time.Time
+		put    time.Time
+		digest uint64
 	}
 
 	home struct {
@@ -93,7 +96,7 @@
 		s.rehome()
 		return nil
 	}
-	s.records[r.Node] = &held{Record: r, put: now}
+	s.records[r.Node] = &held{Record: r, put: now, digest: r.Digest()}
 	s.rehome()
 	var moved []Mark
 	for _, m := range r.Backends {
@@ -104,6 +107,35 @@
 	return moved
 }
 
+// Touch renews a record that has not changed since it was put. It reports false
+// where the owner has another, or none.
+func (x *Index) Touch(now time.Time, name ident.Service, node ident.Node, digest uint64) bool {
+	s := x.service(name)
+	s.expire(now)
+	h, known := s.records[node]
+	if !known || h.digest != digest {
+		return false
+	}
+	h.put = now
+	return true
+}
+
+// Digest sums up what Get would return, and reports whether all of it was put
+// within Fresh.
+func (x *Index) Digest(now time.Time, name ident.Service) (digest uint64, fresh bool) {
+	s, known := x.services[name]
+	if !known {
+		return 0, true
+	}
+	s.expire(now)
+	fresh = true
+	for _, h := range s.records {
+		digest ^= h.digest
+		fresh = fresh && now.Sub(h.put) < Fresh
+	}
+	return digest, fresh
+}
+
 // Get returns the records of a service, by node.
 func (x *Index) Get(now time.Time, name ident.Service) []Found {
 	s, known := x.services[name]
