--- /dev/null
+++ b/internal/fake/check/agenda.go
@@ -0,0 +1,55 @@
+package check
+
+import (
+	"container/heap"
+	"time"
+)
+
+type (
+	// Agenda hands out what was put into it in the order of time. The zero
+	// value is ready.
+	Agenda[T any] struct {
+		items items[T]
+	}
+
+	item[T any] struct {
+		at    time.Time
+		value T
+	}
+
+	items[T any] []item[T]
+)
+
+// Put adds a value for a time.
+func (a *Agenda[T]) Put(at time.Time, value T) {
+	heap.Push(&a.items, item[T]{at: at, value: value})
+}
+
+// Next removes the value with the earliest time. The Agenda must not be empty.
+func (a *Agenda[T]) Next() (time.Time, T) {
+	first, _ := heap.Pop(&a.items).(item[T])
+	return first.at, first.value
+}
+
+// Len implements heap.Interface.
+func (i items[T]) Len() int { return len(i) }
+
+// Less implements heap.Interface.
+func (i items[T]) Less(a, b int) bool { return i[a].at.Before(i[b].at) }
+
+// Swap implements heap.Interface.
+func (i items[T]) Swap(a, b int) { i[a], i[b] = i[b], i[a] }
+
+// Push implements heap.Interface.
+func (i *items[T]) Push(x any) {
+	if v, ok := x.(item[T]); ok {
+		*i = append(*i, v)
+	}
+}
+
+// Pop implements heap.Interface.
+func (i *items[T]) Pop() any {
+	last := (*i)[len(*i)-1]
+	*i = (*i)[:len(*i)-1]
+	return last
+}
--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"io"
 	"net"
 	"sync"
@@ -12,7 +11,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
 
-	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/peer/wire"
 )
@@ -137,33 +135,6 @@
 	}
 }
 
-// Ping asks the peer for a sign of life over the stream's session.
-func (s *Stream) Ping(ctx context.Context) error {
-	if s.session == nil {
-		return nil
-	}
-	answered := make(chan error, 1)
-	go func() {
-		_, err := s.session.Ping()
-		answered <- err
-	}()
-	select {
-	case err := <-answered:
-		return errors.Wrapf(err, "link: ping %s", s.Peer.Address)
-	case <-ctx.Done():
-		return errors.Wrapf(ctx.Err(), "link: ping %s", s.Peer.Address)
-	}
-}
-
-// Cancel ends the exchange and wakes whoever receives from it or sends to it.
-// Closing alone would leave them waiting for the peer.
-func (s *Stream) Cancel() {
-	if limited, ok := s.raw.(interface{ SetDeadline(t time.Time) error }); ok {
-		_ = limited.SetDeadline(time.Unix(1, 0))
-	}
-	go func() { _ = s.Close() }()
-}
-
 // Close ends the exchange. The Conn is released by who has stopped to use it.
 func (s *Stream) Close() error {
 	return s.raw.Close()
@@ -265,159 +236,6 @@
 	return r
 }
 
-// dial fills a line. The dialling outlives the caller that caused it, since
-// others may wait for the same session.
-func (p *Pool) dial(ctx context.Context, address string, l *line) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), helloTimeout)
-		defer cancel()
-		l.session, l.peer, l.err = p.connect(ctx, address)
-		if l.err != nil {
-			p.forget(address, l)
-		}
-		close(l.ready)
-	}()
-}
-
-func (p *Pool) connect(ctx context.Context, address string) (*yamux.Session, Peer, error) {
-	raw, err := p.config.Dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, Peer{}, errors.Wrapf(err, "link: dial %s", address)
-	}
-	session, err := yamux.Client(&joined{Conn: raw}, p.yamux())
-	if err != nil {
-		_ = raw.Close()
-		return nil, Peer{}, errors.Wrapf(err, "link: session with %s", address)
-	}
-	peer, err := p.greet(session, address)
-	if err != nil {
-		_ = session.Close()
-		return nil, Peer{}, err
-	}
-	go p.accept(context.WithoutCancel(ctx), session, peer)
-	return session, peer, nil
-}
-
-func (p *Pool) greet(session *yamux.Session, address string) (Peer, error) {
-	stream, err := session.OpenStream()
-	if err != nil {
-		return Peer{}, errors.Wrapf(err, "link: greet %s", address)
-	}
-	defer stream.Close()
-	_ = stream.SetDeadline(time.Now().Add(helloTimeout))
-	conn := wire.NewConn(stream)
-	defer conn.Release()
-	if err := conn.Send(wire.KindHello, p.hello()); err != nil {
-		return Peer{}, errors.Wrapf(err, "link: greet %s", address)
-	}
-	hello, err := wire.Receive[wire.Hello](conn, wire.KindHello)
-	if err != nil {
-		return Peer{}, errors.Wrapf(err, "link: greeting from %s", address)
-	}
-	peer, err := p.admit(hello)
-	if err != nil {
-		return Peer{}, errors.Wrapf(err, "link: greeting from %s", address)
-	}
-	p.remote(address).Observe(peer.Instance, time.Duration(hello.ClockNs), p.config.Clock.Now())
-	return peer, nil
-}
-
-func (p *Pool) hello() *wire.Hello {
-	return &wire.Hello{
-		Version:       wire.Version,
-		OldestVersion: wire.OldestVersion,
-		Node:          string(p.config.Self.Node),
-		Zone:          string(p.config.Self.Zone),
-		Instance:      uint64(p.config.Self.Instance),
-		Address:       p.config.Self.Address,
-		ClockNs:       int64(p.Reading()),
-		Token:         p.config.Token,
-	}
-}
-
-func (p *Pool) admit(h *wire.Hello) (Peer, error) {
-	if h.Version < wire.OldestVersion || h.OldestVersion > wire.Version {
-		return Peer{}, errors.Wrapf(ErrRefused, "node %q speaks versions %d to %d, this node %d to %d",
-			h.Node, h.OldestVersion, h.Version, wire.OldestVersion, wire.Version)
-	}
-	if subtle.ConstantTimeCompare([]byte(h.Token), []byte(p.config.Token)) != 1 {
-		return Peer{}, errors.Wrapf(ErrRefused, "node %q has another fleet token", h.Node)
-	}
-	if h.Node == "" || h.Address == "" || h.Instance == 0 {
-		return Peer{}, errors.Wrapf(ErrRefused, "node %q sent an incomplete hello", h.Node)
-	}
-	return Peer{
-		Node:     ident.Node(h.Node),
-		Zone:     ident.Zone(h.Zone),
-		Address:  h.Address,
-		Instance: ident.Instance(h.Instance),
-	}, nil
-}
-
-// welcome answers the Hello of a session that a peer dialled.
-func (p *Pool) welcome(ctx context.Context, raw net.Conn) {
-	session, err := yamux.Server(&joined{Conn: raw}, p.yamux())
-	if err != nil {
-		_ = raw.Close()
-		return
-	}
-	peer, err := p.meet(session)
-	if err != nil {
-		p.config.Log.Warn("session refused", "peer", raw.RemoteAddr().String(), "error", err)
-		_ = session.Close()
-		return
-	}
-	p.adopt(session, peer)
-	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
-	defer stop()
-	p.accept(ctx, session, peer)
-}
-
-func (p *Pool) meet(session *yamux.Session) (Peer, error) {
-	timer := time.AfterFunc(helloTimeout, func() { _ = session.Close() })
-	defer timer.Stop()
-	stream, err := session.AcceptStream()
-	if err != nil {
-		return Peer{}, errors.Wrap(err, "link: await hello")
-	}
-	defer stream.Close()
-	conn := wire.NewConn(stream)
-	defer conn.Release()
-	hello, err := wire.Receive[wire.Hello](conn, wire.KindHello)
-	if err != nil {
-		return Peer{}, errors.Wrap(err, "link: await hello")
-	}
-	peer, err := p.admit(hello)
-	if err != nil {
-		return Peer{}, err
-	}
-	if err := conn.Send(wire.KindHello, p.hello()); err != nil {
-		return Peer{}, errors.Wrapf(err, "link: greet %s", peer.Address)
-	}
-	p.remote(peer.Address).Observe(peer.Instance, time.Duration(hello.ClockNs), p.config.Clock.Now())
-	return peer, nil
-}
-
-// adopt uses a session that a peer dialled for streams to that peer, unless
-// there is one already.
-func (p *Pool) adopt(session *yamux.Session, peer Peer) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if l, found := p.lines[peer.Address]; found {
-		select {
-		case <-l.ready:
-			if l.err == nil && !l.session.IsClosed() {
-				return
-			}
-		default:
-			return
-		}
-	}
-	l := &line{ready: make(chan struct{}), session: session, peer: peer}
-	close(l.ready)
-	p.lines[peer.Address] = l
-}
-
 func (p *Pool) accept(ctx context.Context, session *yamux.Session, peer Peer) {
 	for {
 		stream, err := session.AcceptStream()
@@ -441,22 +259,3 @@
 	}
 	p.handler(ctx, peer, conn, first)
 }
-
-// loop opens a stream to the node itself.
-func (p *Pool) loop(ctx context.Context) *Stream {
-	near, far := net.Pipe()
-	r := p.remote(p.config.Self.Address)
-	r.Observe(p.config.Self.Instance, p.Reading(), p.config.Clock.Now())
-	go p.serve(context.WithoutCancel(ctx), p.config.Self, far)
-	return &Stream{Conn: wire.NewConn(near), raw: near, Peer: p.config.Self, Remote: r}
-}
-
-func (p *Pool) yamux() *yamux.Config {
-	config := yamux.DefaultConfig()
-	config.AcceptBacklog = acceptBacklog
-	config.KeepAliveInterval = keepAliveInterval
-	config.ConnectionWriteTimeout = writeTimeout
-	config.MaxStreamWindowSize = streamWindow
-	config.LogOutput = p.config.Log.StandardWriter(&hclog.StandardLoggerOptions{InferLevels: true})
-	return config
-}
--- /dev/null
+++ b/internal/peer/link/stream.go
@@ -0,0 +1,47 @@
+package link
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/figwick/figwick/internal/peer/wire"
+)
+
+// Ping asks the peer for a sign of life over the stream's session.
+func (s *Stream) Ping(ctx context.Context) error {
+	if s.session == nil {
+		return nil
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.session.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return errors.Wrapf(err, "link: ping %s", s.Peer.Address)
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "link: ping %s", s.Peer.Address)
+	}
+}
+
+// Cancel ends the exchange and wakes whoever receives from it or sends to it.
+// Closing alone would leave them waiting for the peer.
+func (s *Stream) Cancel() {
+	if limited, ok := s.raw.(interface{ SetDeadline(t time.Time) error }); ok {
+		_ = limited.SetDeadline(time.Unix(1, 0))
+	}
+	go func() { _ = s.Close() }()
+}
+
+// loop opens a stream to the node itself.
+func (p *Pool) loop(ctx context.Context) *Stream {
+	near, far := net.Pipe()
+	r := p.remote(p.config.Self.Address)
+	r.Observe(p.config.Self.Instance, p.Reading(), p.config.Clock.Now())
+	go p.serve(context.WithoutCancel(ctx), p.config.Self, far)
+	return &Stream{Conn: wire.NewConn(near), raw: near, Peer: p.config.Self, Remote: r}
+}
--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -84,6 +84,8 @@
 		Grants   []Grant
 		Refusals []Refusal
 		Verdicts []Verdict
+		// Silent are the backend servers that no longer renew.
+		Silent []ident.Backend
 	}
 
 	// Desk is one sidecar's decision state. It is not safe for concurrent use.
@@ -270,6 +272,7 @@
 func (d *Desk) Tick(t turn.Turn) Ops {
 	var ops Ops
 	for _, change := range d.roster.Tick(t.Now) {
+		ops.Silent = append(ops.Silent, change.Server.ID)
 		d.change(t, change, &ops)
 	}
 	for _, name := range d.names() {
--- a/internal/policy/health/measure_test.go
+++ b/internal/policy/health/measure_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/fake/check"
 	"github.com/figwick/figwick/internal/policy/health"
 )
 
@@ -166,25 +166,12 @@
 }
 
 type event struct {
-	at     time.Time
 	kind   int
 	server int
 	id     int
 	result health.Result
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 const (
 	arrive = iota
 	finish
@@ -199,7 +186,7 @@
 	judge   detector
 	now     time.Time
 	onset   time.Time
-	queue   events
+	queue   check.Agenda[event]
 	busy    []int
 	waiting int
 	next    int
@@ -212,11 +199,11 @@
 	r.onset = r.now.Add(warm)
 	end := r.onset.Add(length)
 	r.busy = make([]int, r.servers)
-	heap.Push(&r.queue, event{at: r.now, kind: arrive})
-	heap.Push(&r.queue, event{at: r.now, kind: tick})
+	r.queue.Put(r.now, event{kind: arrive})
+	r.queue.Put(r.now, event{kind: tick})
 	for r.now.Before(end) {
-		e, _ := heap.Pop(&r.queue).(event)
-		r.now = e.at
+		var e event
+		r.now, e = r.queue.Next()
 		for _, s := range r.step(e) {
 			r.judge.back(r.now, s)
 			if s == 0 && !r.sick.healthy && !r.sick.all && r.now.After(r.onset) {
@@ -232,7 +219,7 @@
 	switch e.kind {
 	case arrive:
 		rate := r.sick.load * float64(r.servers*slots) / (serviceTime.Seconds() * math.Exp(spread*spread/2))
-		heap.Push(&r.queue, event{at: r.now.Add(time.Duration(r.random.ExpFloat64() / rate * 1e9)), kind: arrive})
+		r.queue.Put(r.now.Add(time.Duration(r.random.ExpFloat64()/rate*1e9)), event{kind: arrive})
 		if r.waiting < 4*r.servers {
 			r.waiting++
 		}
@@ -243,7 +230,7 @@
 		r.dispatch()
 		return r.judge.finish(r.now, e.server, e.id, e.result)
 	default:
-		heap.Push(&r.queue, event{at: r.now.Add(tickEvery), kind: tick})
+		r.queue.Put(r.now.Add(tickEvery), event{kind: tick})
 		return r.judge.tick(r.now)
 	}
 }
@@ -261,9 +248,8 @@
 		r.next++
 		r.judge.begin(r.now, best, r.next)
 		took, outcome := r.sample(best)
-		heap.Push(&r.queue, event{
-			at: r.now.Add(took), kind: finish, server: best, id: r.next,
-			result: health.Result{Outcome: outcome, Took: took},
+		r.queue.Put(r.now.Add(took), event{
+			kind: finish, server: best, id: r.next, result: health.Result{Outcome: outcome, Took: took},
 		})
 	}
 }
--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -141,11 +141,6 @@
 	k.servers = slices.DeleteFunc(k.servers, func(s *server) bool { return s.id == id })
 }
 
-// Remote tells how the service does behind other sidecars.
-func (k *Tracker) Remote(level Level) {
-	k.remote = level
-}
-
 // Begin notes that a request goes to a server.
 func (k *Tracker) Begin(t turn.Turn, id ident.Backend, attempt ident.Attempt) {
 	if s := k.find(id); s != nil {
@@ -242,11 +237,6 @@
 	return inService, out
 }
 
-// Summary returns the level of all servers in service, to be told to others.
-func (k *Tracker) Summary() Level {
-	return k.local(nil)
-}
-
 func (k *Tracker) find(id ident.Backend) *server {
 	for _, s := range k.servers {
 		if s.id == id {
@@ -256,143 +246,6 @@
 	return nil
 }
 
-// level is how the others do: the median over the servers in service here and
-// what is known of those elsewhere. Without others there is no level, and no
-// server is judged: its own past tells nothing of what is normal now.
-func (k *Tracker) level(except *server) Level {
-	local := k.local(except)
-	if k.remote.Weight <= 0 {
-		return local
-	}
-	return blend(local, k.remote)
-}
-
-func (k *Tracker) local(except *server) Level {
-	var means, spreads, failures []float64
-	for _, s := range k.servers {
-		if s == except || s.state != InService || s.count < trustedSamples {
-			continue
-		}
-		means = append(means, s.mean)
-		spreads = append(spreads, s.spread())
-		failures = append(failures, s.failure)
-	}
-	return Level{
-		Mean:    median(means),
-		Spread:  median(spreads),
-		Failure: median(failures),
-		Weight:  float64(len(means)),
-	}
-}
-
-func blend(a, b Level) Level {
-	total := a.Weight + b.Weight
-	share := b.Weight / total
-	return Level{
-		Mean:    a.Mean + share*(b.Mean-a.Mean),
-		Spread:  a.Spread + share*(b.Spread-a.Spread),
-		Failure: a.Failure + share*(b.Failure-a.Failure),
-		Weight:  total,
-	}
-}
-
-// judge raises an alarm where a sum has passed the threshold, and ejects where
-// the others did better over the same time.
-func (k *Tracker) judge(t turn.Turn, s *server, level Level) []Op {
-	if level.Weight == 0 {
-		return nil
-	}
-	ages := s.ageSum(level, t.Now)
-	switch {
-	case s.failureSum >= k.config.Threshold:
-		if k.confirmFailures(s, level) {
-			return k.eject(t, s, ForFailures, s.failureOnset)
-		}
-	case s.latencySum >= k.config.Threshold:
-		if k.confirmLatency(t, s, level) {
-			return k.eject(t, s, ForLatency, s.latencyOnset)
-		}
-	case ages > 0 && ages+s.failureSum >= k.config.Threshold:
-		if k.confirmAges(t, s, level) {
-			return k.eject(t, s, ForHanging, s.oldest(t.Now))
-		}
-	}
-	return nil
-}
-
-// confirmFailures scores the failures since the onset against those of the
-// others in that time. A sum that does not hold is set back to what does.
-func (k *Tracker) confirmFailures(s *server, level Level) bool {
-	failures := pullSamples * level.Failure
-	total := pullSamples
-	k.others(s, func(o *server) {
-		o.each(s.failureOnset, func(p sample) {
-			total++
-			if p.failed {
-				failures++
-			}
-		})
-	})
-	level.Failure = failures / total
-	sum := 0.0
-	s.each(s.failureOnset, func(p sample) {
-		sum = max(0, sum+failureRatio(level, p.failed))
-	})
-	s.failureSum = min(s.failureSum, sum)
-	return s.failureSum >= k.config.Threshold
-}
-
-// confirmLatency does the same for latencies.
-func (k *Tracker) confirmLatency(t turn.Turn, s *server, level Level) bool {
-	level = k.levelSince(t, s, level, s.latencyOnset)
-	sum := 0.0
-	s.each(s.latencyOnset, func(p sample) {
-		if !p.failed {
-			sum = max(0, sum+latencyRatio(level, p.log))
-		}
-	})
-	s.latencySum = min(s.latencySum, sum)
-	return s.latencySum >= k.config.Threshold
-}
-
-// confirmAges does the same for requests in flight.
-func (k *Tracker) confirmAges(t turn.Turn, s *server, level Level) bool {
-	level = k.levelSince(t, s, level, s.oldest(t.Now))
-	return s.ageSum(level, t.Now)+s.failureSum >= k.config.Threshold
-}
-
-// levelSince moves a level to what the other servers did since a moment. Their
-// requests in flight count with the age they have reached, where that is above
-// the level already.
-func (k *Tracker) levelSince(t turn.Turn, s *server, level Level, since time.Time) Level {
-	sum := pullSamples * level.Mean
-	total := pullSamples
-	k.others(s, func(o *server) {
-		o.each(since, func(p sample) {
-			if !p.failed {
-				sum += p.log
-				total++
-			}
-		})
-		for _, begun := range o.begun {
-			if age := logOf(t.Now.Sub(begun)); age > level.Mean {
-				sum += age
-				total++
-			}
-		}
-	})
-	level.Mean = max(level.Mean, sum/total)
-	return level
-}
-
-func (k *Tracker) others(s *server, f func(*server)) {
-	for _, o := range k.servers {
-		if o != s && o.state == InService {
-			f(o)
-		}
-	}
-}
-
 func (k *Tracker) eject(t turn.Turn, s *server, reason Reason, onset time.Time) []Op {
 	s.state = Ejected
 	s.holdEnd = t.Now.Add(k.hold(s.strikes))
--- a/internal/policy/route/load_test.go
+++ b/internal/policy/route/load_test.go
@@ -1,7 +1,6 @@
 package route_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/fake/check"
 	"github.com/figwick/figwick/internal/policy/desk"
 	"github.com/figwick/figwick/internal/policy/floor"
 	"github.com/figwick/figwick/internal/policy/health"
@@ -63,7 +63,7 @@
 	random  *rand.Rand
 	now     time.Time
 	start   time.Time
-	queue   events
+	queue   check.Agenda[func()]
 	pickers [nodes]*route.Picker
 	budgets [nodes]retry.Budget
 	desks   [nodes]*desk.Desk
@@ -88,23 +88,6 @@
 	sent    time.Time
 }
 
-type event struct {
-	at time.Time
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func newLoad(p policy, share float64, seed uint64) *load {
 	parsed, err := config.Parse([]byte(file))
 	if err != nil {
@@ -168,7 +151,7 @@
 }
 
 func (l *load) after(d time.Duration, do func()) {
-	heap.Push(&l.queue, event{at: l.now.Add(d), do: do})
+	l.queue.Put(l.now.Add(d), do)
 }
 
 func (l *load) run() stats {
@@ -176,9 +159,9 @@
 	l.after(0, l.arrive)
 	l.after(0, l.tick)
 	for l.now.Before(end) {
-		e, _ := heap.Pop(&l.queue).(event)
-		l.now = e.at
-		e.do()
+		var do func()
+		l.now, do = l.queue.Next()
+		do()
 	}
 	slices.Sort(l.stats.times)
 	return l.stats
--- a/internal/proxy/node/directory.go
+++ b/internal/proxy/node/directory.go
@@ -2,20 +2,13 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/figwick/figwick/internal/base/events"
 	"github.com/figwick/figwick/internal/base/ident"
-	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/peer/wire"
-	"github.com/figwick/figwick/internal/policy/desk"
-	"github.com/figwick/figwick/internal/policy/floor"
-	"github.com/figwick/figwick/internal/policy/route"
 	"github.com/figwick/figwick/internal/state/index"
-	"github.com/figwick/figwick/internal/state/member"
 )
 
 const (
@@ -162,17 +155,6 @@
 	return p
 }
 
-// digestOf returns the digest of what an owner gave last, if it was the last to
-// give.
-func (d *directory) digestOf(name ident.Service, owner string) uint64 {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if from := d.source[name]; from.owner == owner {
-		return from.digest
-	}
-	return 0
-}
-
 // dueGets returns the services wanted by callers here, or served from here.
 func (d *directory) dueGets() []ident.Service {
 	now := d.node.config.Clock.Now()
@@ -228,39 +210,6 @@
 	}
 }
 
-// rest asks for a service that has not changed less often.
-func (d *directory) rest(name ident.Service) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.wants[name] = d.node.config.Clock.Now().Add(restEvery)
-}
-
-func (d *directory) from(name ident.Service, s source) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.source == nil {
-		d.source = map[ident.Service]source{}
-	}
-	d.source[name] = s
-}
-
-// renewed returns the records of a service that an owner says are unchanged and
-// fresh.
-func (d *directory) renewed(name ident.Service) []*wire.ServiceRecord {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	var records []*wire.ServiceRecord
-	for _, k := range d.known[name] {
-		if !k.current {
-			continue
-		}
-		r := k.record
-		r.AgeMs = index.Fresh.Milliseconds()
-		records = append(records, r)
-	}
-	return records
-}
-
 // putAgain makes whole records due that an owner does not have.
 func (d *directory) putAgain(names []string) {
 	d.mutex.Lock()
@@ -286,73 +235,6 @@
 	}
 }
 
-// learn takes the records of a service to the ingress and the sidecar. A record
-// that an owner does not have stays until it lapses: an owner that has just
-// taken over knows only a part.
-func (d *directory) learn(name ident.Service, records []*wire.ServiceRecord) {
-	self := string(d.node.config.ID)
-	known := d.remember(name, records)
-	var others []floor.Seen
-	for _, r := range known {
-		if r.Node != self {
-			others = append(others, floor.Seen{
-				Node: ident.Node(r.Node), Alive: int(r.Alive), InService: int(r.InService),
-			})
-		}
-	}
-	d.node.front.SetSidecars(name, sidecarsOf(known))
-	d.node.side.Look(func(_ turn.Turn, k *desk.Desk) { k.SetOthers(name, others) })
-}
-
-// remember keeps the latest record of each node for as long as it is good.
-func (d *directory) remember(name ident.Service, records []*wire.ServiceRecord) []*wire.ServiceRecord {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	now := d.node.config.Clock.Now()
-	if d.known == nil {
-		d.known = map[ident.Service]map[string]remembered{}
-	}
-	if d.known[name] == nil {
-		d.known[name] = map[string]remembered{}
-	}
-	known := d.known[name]
-	for node, k := range known {
-		k.current = false
-		known[node] = k
-	}
-	for _, r := range records {
-		put := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
-		k, found := known[r.Node]
-		if !found || put.After(k.put) {
-			k = remembered{record: r, put: put}
-		}
-		k.current = true
-		known[r.Node] = k
-	}
-	var good []*wire.ServiceRecord
-	for _, node := range slices.Sorted(maps.Keys(known)) {
-		if now.Sub(known[node].put) >= index.Lease {
-			delete(known, node)
-			continue
-		}
-		good = append(good, known[node].record)
-	}
-	return good
-}
-
-// moved forgets the backend servers that another node has by now.
-func (d *directory) moved(marks []*wire.BackendMark) {
-	for _, m := range marks {
-		d.node.side.Do(func(t turn.Turn, k *desk.Desk) desk.Ops {
-			ops, known := k.Moved(t, ident.Backend(m.Id), ident.Incarnation(m.Incarnation))
-			if known {
-				events.Emit(d.node.log, events.BackendMoved, "backend-server", m.Id)
-			}
-			return ops
-		})
-	}
-}
-
 // receive serves a node that puts to, or asks, the directory here.
 func (d *directory) receive(b *wire.Directory) *wire.DirectoryReply {
 	d.mutex.Lock()
@@ -385,126 +267,3 @@
 	}
 	return reply
 }
-
-// ask asks all owners of a service's directory at once and joins what they have.
-// It reports false where none answers.
-func (d *directory) ask(ctx context.Context, name ident.Service) ([]*wire.ServiceRecord, bool) {
-	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
-	defer done()
-	owners := d.node.fleet.ownersOf(string(name), index.Owners)
-	replies := make([]*wire.DirectoryReply, len(owners))
-	var asked sync.WaitGroup
-	for i, owner := range owners {
-		asked.Go(func() {
-			replies[i], _ = ask[wire.DirectoryReply](ctx, d.node, owner.Address, wire.KindDirectory,
-				&wire.Directory{From: string(d.node.config.ID), Gets: []*wire.Get{{Service: string(name)}}}, wire.KindDirectoryReply)
-		})
-	}
-	asked.Wait()
-	latest := map[string]*wire.ServiceRecord{}
-	answered := false
-	for _, reply := range replies {
-		answered = answered || reply != nil
-		for _, r := range reply.GetRecords() {
-			if old, found := latest[r.Node]; !found || r.AgeMs < old.AgeMs {
-				latest[r.Node] = r
-			}
-		}
-	}
-	return slices.Collect(maps.Values(latest)), answered
-}
-
-// Find returns the sidecars of a service that is new to the ingress here.
-func (d *directory) Find(ctx context.Context, name ident.Service) []route.Sidecar {
-	records, _ := d.ask(ctx, name)
-	return sidecarsOf(d.remember(name, records))
-}
-
-func sidecarsOf(records []*wire.ServiceRecord) []route.Sidecar {
-	sidecars := make([]route.Sidecar, 0, len(records))
-	for _, r := range records {
-		sidecars = append(sidecars, route.Sidecar{
-			Address: r.Address,
-			Node:    ident.Node(r.Node),
-			Zone:    ident.Zone(r.Zone),
-			Slots:   int(r.Slots),
-			Leaving: r.Leaving,
-		})
-	}
-	return sidecars
-}
-
-// ownRecords sums up the services behind this node's sidecar.
-func (n *Node) ownRecords() []*wire.ServiceRecord {
-	leaving := n.state.Load() == phaseDraining
-	var records []*wire.ServiceRecord
-	n.side.Look(func(t turn.Turn, d *desk.Desk) {
-		for _, s := range d.Summaries(t) {
-			r := &wire.ServiceRecord{
-				Service: string(s.Service),
-				Node:    string(n.config.ID),
-				Address: n.config.Address,
-				Zone:    string(n.config.Zone),
-				Slots:   uint32(s.Slots),
-				Leaving: leaving,
-			}
-			for _, m := range s.Marks {
-				r.Backends = append(r.Backends, &wire.BackendMark{
-					Id: string(m.ID), Incarnation: uint64(m.Incarnation), Standing: wire.Standing(m.Standing),
-				})
-			}
-			records = append(records, r)
-		}
-	})
-	return records
-}
-
-func equalRecords(a, b *wire.ServiceRecord) bool {
-	return a.Slots == b.Slots && a.Leaving == b.Leaving &&
-		slices.EqualFunc(a.Backends, b.Backends, func(x, y *wire.BackendMark) bool {
-			return x.Id == y.Id && x.Incarnation == y.Incarnation && x.Standing == y.Standing
-		})
-}
-
-func fromRecord(w *wire.ServiceRecord) index.Record {
-	r := index.Record{
-		Service: ident.Service(w.Service),
-		Node:    ident.Node(w.Node),
-		Address: w.Address,
-		Zone:    ident.Zone(w.Zone),
-		Slots:   int(w.Slots),
-		Leaving: w.Leaving,
-	}
-	for _, m := range w.Backends {
-		r.Backends = append(r.Backends, index.Mark{
-			ID:          ident.Backend(m.Id),
-			Incarnation: ident.Incarnation(m.Incarnation),
-			Standing:    index.Standing(m.Standing),
-		})
-	}
-	return r
-}
-
-func toFound(f *index.Found) *wire.ServiceRecord {
-	return &wire.ServiceRecord{
-		Service:   string(f.Service),
-		Node:      string(f.Node),
-		Address:   f.Address,
-		Zone:      string(f.Zone),
-		Slots:     uint32(f.Slots),
-		Leaving:   f.Leaving,
-		AgeMs:     f.Age.Milliseconds(),
-		Alive:     uint32(f.Alive),
-		InService: uint32(f.InService),
-		Ejected:   uint32(f.Ejected),
-		Draining:  uint32(f.Draining),
-	}
-}
-
-func addresses(records []member.Record) []string {
-	list := make([]string, len(records))
-	for i := range records {
-		list[i] = records[i].Address
-	}
-	return list
-}
--- /dev/null
+++ b/internal/proxy/node/records.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/policy/desk"
+	"github.com/figwick/figwick/internal/policy/route"
+	"github.com/figwick/figwick/internal/state/index"
+	"github.com/figwick/figwick/internal/state/member"
+)
+
+func sidecarsOf(records []*wire.ServiceRecord) []route.Sidecar {
+	sidecars := make([]route.Sidecar, 0, len(records))
+	for _, r := range records {
+		sidecars = append(sidecars, route.Sidecar{
+			Address: r.Address,
+			Node:    ident.Node(r.Node),
+			Zone:    ident.Zone(r.Zone),
+			Slots:   int(r.Slots),
+			Leaving: r.Leaving,
+		})
+	}
+	return sidecars
+}
+
+// ownRecords sums up the services behind this node's sidecar.
+func (n *Node) ownRecords() []*wire.ServiceRecord {
+	leaving := n.state.Load() == phaseDraining
+	var records []*wire.ServiceRecord
+	n.side.Look(func(t turn.Turn, d *desk.Desk) {
+		for _, s := range d.Summaries(t) {
+			r := &wire.ServiceRecord{
+				Service: string(s.Service),
+				Node:    string(n.config.ID),
+				Address: n.config.Address,
+				Zone:    string(n.config.Zone),
+				Slots:   uint32(s.Slots),
+				Leaving: leaving,
+			}
+			for _, m := range s.Marks {
+				r.Backends = append(r.Backends, &wire.BackendMark{
+					Id: string(m.ID), Incarnation: uint64(m.Incarnation), Standing: wire.Standing(m.Standing),
+				})
+			}
+			records = append(records, r)
+		}
+	})
+	return records
+}
+
+func equalRecords(a, b *wire.ServiceRecord) bool {
+	return a.Slots == b.Slots && a.Leaving == b.Leaving &&
+		slices.EqualFunc(a.Backends, b.Backends, func(x, y *wire.BackendMark) bool {
+			return x.Id == y.Id && x.Incarnation == y.Incarnation && x.Standing == y.Standing
+		})
+}
+
+func fromRecord(w *wire.ServiceRecord) index.Record {
+	r := index.Record{
+		Service: ident.Service(w.Service),
+		Node:    ident.Node(w.Node),
+		Address: w.Address,
+		Zone:    ident.Zone(w.Zone),
+		Slots:   int(w.Slots),
+		Leaving: w.Leaving,
+	}
+	for _, m := range w.Backends {
+		r.Backends = append(r.Backends, index.Mark{
+			ID:          ident.Backend(m.Id),
+			Incarnation: ident.Incarnation(m.Incarnation),
+			Standing:    index.Standing(m.Standing),
+		})
+	}
+	return r
+}
+
+func toFound(f *index.Found) *wire.ServiceRecord {
+	return &wire.ServiceRecord{
+		Service:   string(f.Service),
+		Node:      string(f.Node),
+		Address:   f.Address,
+		Zone:      string(f.Zone),
+		Slots:     uint32(f.Slots),
+		Leaving:   f.Leaving,
+		AgeMs:     f.Age.Milliseconds(),
+		Alive:     uint32(f.Alive),
+		InService: uint32(f.InService),
+		Ejected:   uint32(f.Ejected),
+		Draining:  uint32(f.Draining),
+	}
+}
+
+func addresses(records []member.Record) []string {
+	list := make([]string, len(records))
+	for i := range records {
+		list[i] = records[i].Address
+	}
+	return list
+}
--- a/internal/proxy/side/server.go
+++ b/internal/proxy/side/server.go
@@ -105,6 +105,9 @@
 	s.deliver(ops)
 	s.mutex.Unlock()
 	s.report(ops.Verdicts)
+	for _, id := range ops.Silent {
+		events.Emit(s.config.Log, events.BackendGone, "backend-server", string(id), "reason", "silent")
+	}
 }
 
 // Look reads from the Desk.
