front: hedges from the retry budget

Change: a repeatable request without a body that has no answer after hedge-after goes to a second sidecar too, paid from the budget; the first head of an answer owns the response, the other attempt is cancelled. Off by default. Figures: with one of two servers hanging every look-up is answered; 20 orders ran once each.

--- a/cmd/figwick/process_test.go
+++ b/cmd/figwick/process_test.go
@@ -186,6 +186,9 @@
 
 // TestExitCodes holds the command line to its documented exit codes.
 func TestExitCodes(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
 	for _, c := range []struct {
 		args  []string
 		stdin string
@@ -197,6 +200,7 @@
 		{[]string{"check"}, "", codeUsage},
 		{[]string{"node"}, "", codeUsage},
 		{[]string{"node", "--id", "n", "--zone", "z", "--store-url", "http://127.0.0.1:1", "--callers-listen", "127.0.0.1:80000"}, "", codeUsage},
+		{[]string{"node", "--id", "n", "--zone", "z", "--store-url", "http://127.0.0.1:1", "--callers-listen", taken.Addr().String()}, "", codeUsage},
 		{[]string{"status", "--admin", "127.0.0.1:1"}, "", codeUnreachable},
 		{[]string{"apply", "--admin", "127.0.0.1:1", "-"}, "version: 1\n", codeUnreachable},
 	} {
--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -29,8 +29,9 @@
 		// Limited counts requests over their caller's limit; they are in NotRun
 		// too.
 		Limited tally.Counter
-		// Retries counts further attempts.
+		// Retries and Hedges count further attempts.
 		Retries tally.Counter
+		Hedges  tally.Counter
 		// Fences counts questions for an attempt's fate, Recovered the answers
 		// they brought.
 		Fences    tally.Counter
@@ -88,6 +89,7 @@
 		Unknown:      requests("unknown"),
 		Limited:      scope.Counter("limited_requests"),
 		Retries:      scope.Counter("retries"),
+		Hedges:       scope.Counter("hedges"),
 		Fences:       scope.Counter("fences"),
 		Recovered:    scope.Counter("recovered_answers"),
 		InFlight:     scope.Gauge("requests_in_flight"),
--- a/internal/policy/retry/plan.go
+++ b/internal/policy/retry/plan.go
@@ -85,6 +85,11 @@
 	return GiveUpNotRun
 }
 
+// Note takes the outcome of an attempt that ran beside another.
+func (p *Plan) Note(o Outcome) {
+	p.mayRun = p.mayRun || o == Broken || o == Lost
+}
+
 // GiveUp ends the request without another attempt.
 func (p *Plan) GiveUp() Step {
 	return p.giveUp()
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -64,6 +64,10 @@
 		if err != nil || a.reply != nil {
 			return a.broken(wire.ErrFrame), true
 		}
+		if !a.x.race.win(a) {
+			return a.lost("hedge", errHedged), true
+		}
+		a.headed.Store(true)
 		a.reply = a.x.begin(head)
 	case wire.KindBody:
 		if a.reply == nil {
@@ -126,7 +130,7 @@
 	}
 	a.note(failure.Load, true)
 	cause := errors.Newf("%s: %s", failure.Step, failure.Detail)
-	if a.x.committed {
+	if a.reply != nil && a.x.committed {
 		a.x.cut(a, cause)
 	}
 	return a.failed(retry.Broken, failure.Step, cause)
@@ -135,7 +139,7 @@
 // broken ends an attempt whose stream ended, or made no sense. An answer that
 // the caller already has a part of is cut visibly.
 func (a *attempt) broken(err error) result {
-	if a.x.committed {
+	if a.reply != nil && a.x.committed {
 		a.x.server.with(a.x.match.Entry.Name, func(t turn.Turn, l *lane) {
 			l.picker.Unreachable(t, a.sidecar.Address)
 		})
@@ -144,7 +148,6 @@
 	if failed := a.x.body.failure(); failed != nil {
 		return a.badBody(failed)
 	}
-	a.x.headed.Store(false)
 	return a.lost("answer", err)
 }
 
@@ -182,7 +185,7 @@
 
 func (a *attempt) inform(f wire.Frame) {
 	info, err := wire.Decode[wire.Informational](f, wire.KindInformational)
-	if err != nil || info.Status < 102 || info.Status > 199 {
+	if err != nil || info.Status < 102 || info.Status > 199 || !a.x.race.alone() {
 		return
 	}
 	h := a.x.writer.Header()
@@ -197,9 +200,7 @@
 }
 
 func (x *exchange) begin(head *wire.ResponseHead) *answer {
-	x.headed.Store(true)
-	reply := &answer{x: x, head: head, control: http.NewResponseController(x.writer)}
-	return reply
+	return &answer{x: x, head: head, control: http.NewResponseController(x.writer)}
 }
 
 // linger gives an answer of unknown length a moment to go on. Where it does
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,7 +49,9 @@
 		started chan struct{}
 		begun   bool
 		reply   *answer
-		sent    time.Time
+		// headed tells that the head of an answer has come.
+		headed atomic.Bool
+		sent   time.Time
 	}
 )
 
@@ -61,6 +64,8 @@
 		x.server.with(name, func(t turn.Turn, l *lane) { l.picker.Unreachable(t, sidecar.Address) })
 		return a.failed(retry.Unreached, "connect", err)
 	}
+	x.race.enter(a)
+	defer x.race.leave(a)
 	defer a.cancel(nil)
 	defer a.stream.Release()
 	defer a.stream.Close()
@@ -188,7 +193,7 @@
 // late ends an attempt whose answer has not begun by the deadline. One that has
 // begun is a body under way, which the sidecar watches.
 func (a *attempt) late() {
-	if !a.x.headed.Load() {
+	if !a.headed.Load() {
 		a.cancel(context.DeadlineExceeded)
 	}
 }
@@ -220,7 +225,8 @@
 	}
 	name := a.x.match.Entry.Name
 	a.x.server.with(name, func(t turn.Turn, l *lane) {
-		if errors.Is(err, context.Canceled) || errors.Is(err, errCaller) || errors.Is(err, context.DeadlineExceeded) {
+		if errors.Is(err, context.Canceled) || errors.Is(err, errCaller) || errors.Is(err, context.DeadlineExceeded) ||
+			errors.Is(err, errHedged) {
 			l.picker.Dropped(a.sidecar.Address)
 			return
 		}
@@ -247,7 +253,9 @@
 // answered tells the picker and the survey how the attempt went.
 func (a *attempt) note(load *wire.Load, failed bool) {
 	served := time.Duration(load.GetServiceUs()) * time.Microsecond
-	a.x.served = served
+	if a.reply != nil {
+		a.x.served = served
+	}
 	now := a.x.now()
 	a.observe(load, now)
 	a.x.server.with(a.x.match.Entry.Name, func(t turn.Turn, l *lane) {
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"path"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,8 +53,8 @@
 	moved bool
 	// committed tells that the answer's head has gone to the caller.
 	committed bool
-	// headed tells that the head of an answer has come.
-	headed atomic.Bool
+	// race is the attempts that run now.
+	race race
 	// claim is the request's idempotency key, where it bears one.
 	claim *keys.Claim
 	// last is why the last attempt failed.
@@ -88,7 +87,7 @@
 			x.end(x.plan.GiveUp())
 			return
 		}
-		result := x.attempt(ctx, sidecar)
+		result := x.make(ctx, sidecar)
 		if result.answered {
 			x.answered()
 			return
@@ -108,6 +107,14 @@
 	}
 }
 
+// make makes one attempt, hedged where the service wants it.
+func (x *exchange) make(ctx context.Context, sidecar route.Sidecar) result {
+	if x.mayHedge() {
+		return x.hedged(ctx, sidecar)
+	}
+	return x.attempt(ctx, sidecar)
+}
+
 // next picks the sidecar for the next attempt. Where none is left, or the last
 // one has lost its backend servers, the directory is asked anew.
 func (x *exchange) next(ctx context.Context) (route.Sidecar, bool) {
--- a/internal/proxy/node/faults_test.go
+++ b/internal/proxy/node/faults_test.go
@@ -214,6 +214,29 @@
 	}
 }
 
+// TestHedgeOvertakesASlowServer: one of two servers hangs; look-ups are answered
+// by the other all the same, and orders are never sent twice at once.
+func TestHedgeOvertakesASlowServer(t *testing.T) {
+	b, _ := flakyBench(t, server.Config{}, 1, 2)
+	file := strings.Replace(testFile, "    routes:", "    retry: {hedge-after: 20ms, budget-percent: 100}\n    routes:", 1)
+	assert.NilError(t, b.Apply(b.ctx, []byte(file)))
+	b.servers[0].Fall(server.Sickness{Hanging: true})
+	for i := 0; b.servers[0].Runs()["look-up"] == 0; i++ {
+		r := b.request(0, http.MethodGet, "/any", nil)
+		r.Header.Set(server.RequestHeader, "look-up")
+		got := <-b.send(r)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK, got.text)
+	}
+	b.servers[0].Fall(server.Sickness{})
+	for i := range 20 {
+		id := fmt.Sprintf("order-%d", i)
+		got := <-b.send(b.order(0, id))
+		assert.NilError(t, got.err)
+		assert.Equal(t, b.runs(id), 1)
+	}
+}
+
 // TestRefusedConnectionIsNotRun: a backend server that is gone but announced has
 // not run an order, and another may.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
--- a/internal/proxy/node/path_bench_test.go
+++ b/internal/proxy/node/path_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -154,6 +155,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	const requests = 400
+	b.ReportMetric(idleConnections(b, f.Nodes[0].Callers, requests), "B/connection")
 	base := heap()
 	var running sync.WaitGroup
 	client := &http.Client{Transport: &http.Transport{}}
@@ -176,6 +178,30 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// idleConnections returns the memory of one caller's connection that waits after
+// a request, the caller's own end included.
+func idleConnections(b *testing.B, address string, count int) float64 {
+	b.Helper()
+	base := heap()
+	connections := make([]net.Conn, count)
+	for i := range connections {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close()
+		connections[i] = conn
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: nobody.test\r\n\r\n"); err != nil {
+			b.Fatal(err)
+		}
+		var some [256]byte
+		if _, err := conn.Read(some[:]); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return float64(heap()-base) / float64(count)
+}
+
 func heap() int64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -108,6 +108,9 @@
 	c.ejection(path+".ejection", &s.Ejection)
 	c.within(path+".retry.attempts", float64(s.Retry.Attempts), 1, MaxAttempts, "attempts")
 	c.within(path+".retry.budget-percent", s.Retry.BudgetPercent, 0, 100, "percent")
+	if s.Retry.Hedge != 0 {
+		c.duration(path+".retry.hedge-after", s.Retry.Hedge, time.Millisecond, s.Deadline)
+	}
 	c.routes(path, s.Routes)
 	c.allowed(path, s.BackendServers)
 	c.limits(path+".limits", &s.Limits)
--- a/internal/state/config/file.go
+++ b/internal/state/config/file.go
@@ -68,6 +68,9 @@
 		Attempts int `yaml:"attempts" json:"attempts"`
 		// BudgetPercent is retries and hedges as a share of requests.
 		BudgetPercent float64 `yaml:"budget-percent" json:"budget-percent"`
+		// Hedge is when a second attempt joins a first that has no answer yet;
+		// zero is never.
+		Hedge time.Duration `yaml:"hedge-after" json:"hedge-after,omitempty"`
 	}
 
 	// Route sets what differs for some paths and methods of a service.
