--- /dev/null
+++ b/internal/policy/queue/line_test.go
@@ -0,0 +1,151 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/fake/check"
+	"github.com/figwick/figwick/internal/policy/queue"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(now time.Time) turn.Turn { return turn.Turn{Now: now, Random: turn.Seeded(1)} }
+
+func entry(id int, deadline time.Time) queue.Entry {
+	return queue.Entry{Attempt: ident.Attempt(fmt.Sprint(id)), Repeatable: true, Deadline: deadline}
+}
+
+func line(servers ...queue.Server) *queue.Line {
+	l := &queue.Line{Length: 2}
+	for _, s := range servers {
+		l.Set(at(start), s)
+	}
+	return l
+}
+
+func TestLine(t *testing.T) {
+	far := start.Add(time.Hour)
+	for _, c := range []struct {
+		name string
+		run  func(t *testing.T)
+	}{
+		{"slots are exact and the line is in order", func(t *testing.T) {
+			l := line(queue.Server{ID: "a", Slots: 1})
+			decision, grant := l.Enter(at(start), entry(1, far))
+			assert.Equal(t, decision, queue.Granted)
+			for id, want := range map[int]queue.Decision{2: queue.Waiting} {
+				decision, _ = l.Enter(at(start), entry(id, far))
+				assert.Equal(t, decision, want)
+			}
+			decision, _ = l.Enter(at(start), entry(3, far))
+			assert.Equal(t, decision, queue.Waiting)
+			decision, _ = l.Enter(at(start), entry(4, far))
+			assert.Equal(t, decision, queue.Busy, "the line is full")
+			out := l.Leave(at(start), grant.Server, time.Second)
+			assert.Equal(t, out.Grants[0].Attempt, ident.Attempt("2"))
+		}},
+		{"an attempt without a chance is refused when it comes", func(t *testing.T) {
+			l := line(queue.Server{ID: "a", Slots: 1})
+			_, grant := l.Enter(at(start), entry(1, far))
+			l.Leave(at(start), grant.Server, time.Second)
+			l.Enter(at(start), entry(2, far))
+			decision, _ := l.Enter(at(start), entry(3, start.Add(1500*time.Millisecond)))
+			assert.Equal(t, decision, queue.Busy)
+		}},
+		{"one that has waited too long is refused at its turn", func(t *testing.T) {
+			l := line(queue.Server{ID: "a", Slots: 1})
+			l.Enter(at(start), entry(1, far))
+			l.Enter(at(start), entry(2, start.Add(time.Second)))
+			out := l.Tick(at(start.Add(2 * time.Second)))
+			assert.DeepEqual(t, out.Refused, []ident.Attempt{"2"})
+		}},
+		{"a closed server takes nothing", func(t *testing.T) {
+			l := line(queue.Server{ID: "a", Slots: 1, Grade: queue.Closed})
+			decision, _ := l.Enter(at(start), entry(1, far))
+			assert.Equal(t, decision, queue.Absent)
+		}},
+		{"a last server only serves as a last resort", func(t *testing.T) {
+			l := line(queue.Server{ID: "a", Slots: 1, Grade: queue.Last})
+			decision, _ := l.Enter(at(start), entry(1, far))
+			assert.Equal(t, decision, queue.Busy)
+			e := entry(2, far)
+			e.LastResort = true
+			decision, _ = l.Enter(at(start), e)
+			assert.Equal(t, decision, queue.Granted)
+		}},
+		{"a server on trial gets one repeatable attempt at a time", func(t *testing.T) {
+			l := line(queue.Server{ID: "a", Slots: 3, Grade: queue.Trial})
+			once := entry(1, far)
+			once.Repeatable = false
+			decision, _ := l.Enter(at(start), once)
+			assert.Equal(t, decision, queue.Busy)
+			decision, _ = l.Enter(at(start), entry(2, far))
+			assert.Equal(t, decision, queue.Granted)
+			decision, _ = l.Enter(at(start), entry(3, far))
+			assert.Equal(t, decision, queue.Waiting)
+		}},
+		{"a cold server ramps", func(t *testing.T) {
+			l := line(queue.Server{ID: "a", Slots: 10, ColdSince: start, ColdUntil: start.Add(10 * time.Second)})
+			assert.Equal(t, l.Load(at(start)).Slots, 1)
+			assert.Equal(t, l.Load(at(start.Add(5*time.Second))).Slots, 5)
+			assert.Equal(t, l.Load(at(start.Add(10*time.Second))).Slots, 10)
+		}},
+	} {
+		t.Run(c.name, c.run)
+	}
+}
+
+// TestSlotsAreNeverOversold plays entries, ends, cancels and changes of grade.
+func TestSlotsAreNeverOversold(t *testing.T) {
+	check.Run(t, func(t *rapid.T) {
+		d := check.NewDice(t)
+		now := start
+		l := &queue.Line{Length: 4}
+		slots := map[ident.Backend]int{"a": 2, "b": 3}
+		held := map[ident.Backend]int{}
+		for id, n := range slots {
+			l.Set(turn.Turn{Now: now, Random: d.Random()}, queue.Server{ID: id, Slots: n})
+		}
+		grant := func(g queue.Grant) {
+			held[g.Server]++
+			if held[g.Server] > slots[g.Server] {
+				t.Fatalf("%s has %d attempts in %d slots", g.Server, held[g.Server], slots[g.Server])
+			}
+		}
+		for i := range 200 {
+			now = now.Add(time.Duration(d.Upto(50)) * time.Millisecond)
+			tn := turn.Turn{Now: now, Random: d.Random()}
+			out := queue.Outcome{}
+			switch d.Upto(5) {
+			case 0, 1:
+				e := entry(i, now.Add(time.Duration(d.Upto(2000))*time.Millisecond))
+				e.LastResort = d.Chance(30)
+				if decision, g := l.Enter(tn, e); decision == queue.Granted {
+					grant(g)
+				}
+			case 2:
+				for _, id := range []ident.Backend{"a", "b"} {
+					if held[id] > 0 {
+						held[id]--
+						out = l.Leave(tn, id, 20*time.Millisecond)
+						break
+					}
+				}
+			case 3:
+				out = l.SetGrade(tn, []ident.Backend{"a", "b"}[d.Upto(2)], queue.Grade(d.Upto(4)))
+			default:
+				out = l.Tick(tn)
+			}
+			for _, g := range out.Grants {
+				grant(g)
+			}
+		}
+	})
+}
--- a/internal/state/accept/accept_test.go
+++ b/internal/state/accept/accept_test.go
@@ -126,6 +126,10 @@
 		s := &turnstile{Store: kvs.New(clockwork.NewFakeClock()), arrived: make(chan call)}
 		history := map[ident.Apply]ident.Revision{}
 		highest := ident.Revision(0)
+		fleet := &nodes{store: s.Store, dice: check.NewDice(t), adopters: make([]*accept.Adopter, 4)}
+		for i := range fleet.adopters {
+			fleet.adopters[i] = &accept.Adopter{}
+		}
 		for range rapid.IntRange(1, 4).Draw(t, "rounds") {
 			operators := rapid.IntRange(1, 3).Draw(t, "operators")
 			done := make(chan outcome, operators)
@@ -154,7 +158,9 @@
 			for _, o := range outcomes {
 				judge(t, o, history)
 			}
+			fleet.play(t, highest)
 		}
+		fleet.converge(t)
 	})
 }
 
@@ -193,6 +199,84 @@
 	return outcomes
 }
 
+// nodes adopt what the store, which may answer from the past, or another node
+// offers.
+type nodes struct {
+	store    *kvs.Store
+	dice     *check.Dice
+	adopters []*accept.Adopter
+}
+
+func (n *nodes) play(t *rapid.T, highest ident.Revision) {
+	for range n.dice.Upto(12) {
+		i := n.dice.Upto(len(n.adopters))
+		if n.dice.Chance(5) {
+			// The node is replaced and knows nothing.
+			n.adopters[i] = &accept.Adopter{}
+		}
+		before := n.adopters[i].Revision()
+		if n.dice.Chance(40) {
+			n.store.Inject(kvs.Faults{Stale: n.dice.Upto(3)})
+			n.fromStore(i)
+			n.store.Inject(kvs.Faults{})
+		} else {
+			n.fromPeer(i, n.dice.Upto(len(n.adopters)))
+		}
+		if now := n.adopters[i].Revision(); now < before || now > highest {
+			t.Fatalf("a node went from revision %d to %d, accepted is %d", before, now, highest)
+		}
+	}
+}
+
+func (n *nodes) fromStore(i int) {
+	item, err := n.store.Get(context.Background(), accept.HeadKey)
+	if err != nil {
+		return
+	}
+	n.offer(i, item.Value, func(ctx context.Context, names []string) (map[string][]byte, error) {
+		found := map[string][]byte{}
+		for _, name := range names {
+			chunk, err := n.store.Get(ctx, accept.ChunkKey(name))
+			if err == nil {
+				found[name] = chunk.Value
+			}
+		}
+		return found, nil
+	})
+}
+
+func (n *nodes) fromPeer(i, from int) {
+	peer := n.adopters[from]
+	if peer.Revision() == 0 {
+		return
+	}
+	_, text := peer.Head()
+	n.offer(i, text, func(_ context.Context, names []string) (map[string][]byte, error) {
+		return peer.Chunks(names), nil
+	})
+}
+
+func (n *nodes) offer(i int, head []byte, fetch accept.Fetch) {
+	if next, _, err := n.adopters[i].Offer(context.Background(), head, fetch); err == nil {
+		n.adopters[i] = next
+	}
+}
+
+// converge lets one node read the store and the others hear from it.
+func (n *nodes) converge(t *rapid.T) {
+	n.fromStore(0)
+	for i := range n.adopters {
+		n.fromPeer(i, 0)
+		if n.adopters[i].Revision() != n.adopters[0].Revision() {
+			t.Fatalf("node %d stays at revision %d", i, n.adopters[i].Revision())
+		}
+	}
+	head, found := headOf(t, n.store)
+	if found && n.adopters[0].Revision() != head.Revision {
+		t.Fatalf("revision %d in force, %d accepted", n.adopters[0].Revision(), head.Revision)
+	}
+}
+
 func judge(t *rapid.T, o outcome, history map[ident.Apply]ident.Revision) {
 	revision, accepted := history[o.apply]
 	switch o.result.State {
--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -104,20 +104,34 @@
 
 // Claim claims a key, or tells who has it. ErrAway says that nobody can tell.
 func (b *Book) Claim(ctx context.Context, k Key) (*Claim, error) {
+	c := &Claim{State: Claimed, key: k.path(), record: record{Claim: ident.NewAttempt()}}
+	err := b.create(ctx, c)
+	if errors.Is(err, store.ErrLeaseLost) {
+		err = b.create(ctx, c)
+	}
+	switch {
+	case err == nil:
+		return c, nil
+	case errors.Is(err, ErrAway):
+		return nil, err
+	default:
+		return b.readBack(ctx, c)
+	}
+}
+
+// create creates a key's record under the current lease. A lease that has
+// lapsed is not used again.
+func (b *Book) create(ctx context.Context, c *Claim) error {
 	lease, err := b.currentLease(ctx)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	c := &Claim{State: Claimed, key: k.path(), record: record{Claim: ident.NewAttempt()}}
 	item, err := b.write(ctx, c, 0, lease)
-	if err == nil {
-		c.version = item.Version
-		return c, nil
-	}
 	if errors.Is(err, store.ErrLeaseLost) {
 		b.dropLease(lease)
 	}
-	return b.readBack(ctx, c)
+	c.version = item.Version
+	return err
 }
 
 // Finish records the answer of a claimed key. Where that fails the key stays
