desk, side: a caller's slow or broken upload is no verdict on a server

Cause: read as a newcomer, three paths blamed backend servers for their callers: a body that broke off ended as a failure, a request given up before it connected as a failed connection, and the age of a request counted while its caller was still sending. A chunked body over the limit was answered 503 instead of 413, and announcements were not bounded in number. Change: age and service time start when the backend server has the whole body; what a broken body leads to is no evidence; 413; 4096 servers a node.

--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -45,6 +45,9 @@
 		Service    ident.Service
 		Repeatable bool
 		LastResort bool
+		// HasBody tells that the caller may still be sending: Sent says when the
+		// backend server has it all.
+		HasBody bool
 		// StartBefore is the last moment at which it may start.
 		StartBefore time.Time
 		// Deadline is when its answer is of no more use.
@@ -202,6 +205,19 @@
 	return ops
 }
 
+// Sent notes that a backend server has an attempt's whole body: from there on
+// its age is evidence. Before that, the caller may be the slow one.
+func (d *Desk) Sent(t turn.Turn, id ident.Attempt) {
+	h, found := d.held[id]
+	if !found || h.server == "" || !h.HasBody {
+		return
+	}
+	s := d.services[h.Service]
+	if s.servers[h.server] == h.standing {
+		s.tracker.Begin(t, h.server, id)
+	}
+}
+
 // Headed notes that the head of an attempt's answer has come.
 func (d *Desk) Headed(id ident.Attempt) {
 	h, found := d.held[id]
@@ -212,9 +228,9 @@
 
 // Unstarted takes back a grant of which no byte reached the backend server:
 // the attempt was not run.
-func (d *Desk) Unstarted(t turn.Turn, id ident.Attempt, took time.Duration) Ops {
+func (d *Desk) Unstarted(t turn.Turn, id ident.Attempt, r health.Result) Ops {
 	d.fences.Unstart(id)
-	return d.Finish(t, id, health.Result{Outcome: health.Failed, Took: took}, nil)
+	return d.Finish(t, id, r, nil)
 }
 
 // Shed takes back a grant whose backend server refused the request for load and
@@ -326,7 +342,9 @@
 	}
 	h.server = g.Server
 	h.standing = s.servers[g.Server]
-	s.tracker.Begin(t, g.Server, g.Attempt)
+	if !h.HasBody {
+		s.tracker.Begin(t, g.Server, g.Attempt)
+	}
 }
 
 // outcome turns what a line did into operations. An attempt that may no longer
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -164,6 +164,10 @@
 	if t.status == 0 {
 		t = trouble{step: "route", detail: "no backend server can take the request now"}
 	}
+	if t.status == http.StatusRequestEntityTooLarge {
+		x.notRun(t)
+		return
+	}
 	t.status = http.StatusServiceUnavailable
 	if !x.now().Before(x.deadline) {
 		t.status = http.StatusGatewayTimeout
--- a/internal/proxy/front/problem.go
+++ b/internal/proxy/front/problem.go
@@ -63,6 +63,9 @@
 	if !x.server.config.Clock.Now().Before(x.deadline) && !x.deadline.IsZero() {
 		status = http.StatusGatewayTimeout
 	}
+	if x.last.status == http.StatusRequestEntityTooLarge {
+		status = x.last.status
+	}
 	x.problem(Unknown, trouble{status: status, step: step, peer: peer, detail: detail})
 }
 
--- a/internal/proxy/node/caller_test.go
+++ b/internal/proxy/node/caller_test.go
@@ -273,6 +273,14 @@
 			assert.Equal(t, b.servers[0].Total(), before)
 		})
 	}
+	t.Run("chunked body too large", func(t *testing.T) {
+		r := b.request(0, http.MethodPost, "/upload", io.LimitReader(zeros{}, 5_000_000))
+		r.ContentLength = -1
+		response, text := b.do(r)
+		assert.Equal(t, response.StatusCode, http.StatusRequestEntityTooLarge, text)
+		// A part had gone to the backend server before the end was known.
+		assert.Equal(t, problemOf(t, response, text).Outcome, front.Unknown)
+	})
 	t.Run("headers too large", func(t *testing.T) {
 		before := b.servers[0].Total()
 		r := b.request(0, http.MethodGet, "/any", nil)
--- a/internal/proxy/node/faults_test.go
+++ b/internal/proxy/node/faults_test.go
@@ -398,6 +398,30 @@
 	}
 }
 
+// TestCallersFaultsAreNoVerdict: callers that break off their uploads do not get
+// backend servers ejected.
+func TestCallersFaultsAreNoVerdict(t *testing.T) {
+	b := start(t, 1, 4, server.Config{})
+	for i := range 120 {
+		ctx, cancel := context.WithCancel(b.ctx)
+		body, feed := io.Pipe()
+		r := b.request(0, http.MethodPost, "/orders", body).WithContext(ctx)
+		answer := b.send(r)
+		_, err := feed.Write(make([]byte, 1000))
+		assert.NilError(t, err)
+		cancel()
+		_ = feed.CloseWithError(io.ErrUnexpectedEOF)
+		<-answer
+		<-b.send(b.request(0, http.MethodGet, fmt.Sprintf("/any-%d", i), nil))
+	}
+	for _, s := range b.Nodes[0].Node.Dump().Desk.Services {
+		for _, v := range s.Servers {
+			assert.Equal(t, v.State, "in-service", "%+v", v)
+			assert.Check(t, v.FailureSum == 0, "%+v", v)
+		}
+	}
+}
+
 // TestGrayServerIsEjected: one of nine servers fails half of its work; it is
 // taken out, and its service stays above the floor.
 func TestGrayServerIsEjected(t *testing.T) {
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -41,14 +41,15 @@
 
 // attempt is one attempt on its way through the sidecar.
 type attempt struct {
-	server   *Server
-	head     *wire.RequestHead
-	id       ident.Attempt
-	service  ident.Service
-	conn     *wire.Conn
-	sending  sync.Mutex
-	body     *intake
-	began    time.Time
+	server  *Server
+	head    *wire.RequestHead
+	id      ident.Attempt
+	service ident.Service
+	conn    *wire.Conn
+	sending sync.Mutex
+	body    *intake
+	// began is when the backend server had the whole request, in nanoseconds.
+	began    atomic.Int64
 	deadline time.Time
 	timer    clockwork.Timer
 	cancel   context.CancelCauseFunc
@@ -78,6 +79,7 @@
 	defer a.cancel(nil)
 	a.body = newIntake(conn, head.ContentLength == 0, a.lost)
 	a.body.done = func() { s.Release(a.id) }
+	a.body.read = a.sent
 	conn.Retain()
 	go a.body.run()
 	v, granted := a.wait(ctx)
@@ -133,6 +135,7 @@
 		Service:     a.service,
 		Repeatable:  a.head.Repeatable,
 		LastResort:  a.head.LastResort,
+		HasBody:     a.head.ContentLength != 0,
 		StartBefore: s.moment(a.head.Stamp),
 		Deadline:    a.deadline,
 	})
@@ -169,14 +172,15 @@
 
 // run sends the request to its backend server and the answer back.
 func (a *attempt) run(ctx context.Context, v verdict) {
-	a.began = a.server.config.Clock.Now()
-	a.timer = a.server.config.Clock.AfterFunc(a.deadline.Sub(a.began), func() { a.cancel(errDeadline) })
+	now := a.server.config.Clock.Now()
+	a.began.Store(now.UnixNano())
+	a.timer = a.server.config.Clock.AfterFunc(a.deadline.Sub(now), func() { a.cancel(errDeadline) })
 	defer a.timer.Stop()
 	if !a.body.whole() {
 		_ = a.send(wire.KindStarted, &wire.Started{BackendServer: string(v.id)})
 	}
 	response, err := a.server.transportFor(a.head.Repeatable).RoundTrip(a.request(ctx, v))
-	a.took = a.server.config.Clock.Since(a.began)
+	a.took = a.server.config.Clock.Since(time.Unix(0, a.began.Load()))
 	if err != nil {
 		a.broke(ctx, err)
 		return
@@ -187,10 +191,17 @@
 	a.answer(ctx, response)
 }
 
+// sent notes that the backend server has the whole body: its own time starts.
+func (a *attempt) sent() {
+	a.began.Store(a.server.config.Clock.Now().UnixNano())
+	a.server.Look(func(t turn.Turn, d *desk.Desk) { d.Sent(t, a.id) })
+}
+
 // broke ends an attempt that has no answer.
 func (a *attempt) broke(ctx context.Context, err error) {
 	if !a.wrote.any() {
-		a.server.Do(func(t turn.Turn, d *desk.Desk) desk.Ops { return d.Unstarted(t, a.id, a.took) })
+		r := health.Result{Outcome: a.verdict(outcomeOf(ctx)), Took: a.took}
+		a.server.Do(func(t turn.Turn, d *desk.Desk) desk.Ops { return d.Unstarted(t, a.id, r) })
 		a.refuse(wire.Reason_REASON_CONNECT, "nothing reached the backend server")
 		return
 	}
@@ -209,8 +220,18 @@
 	}
 }
 
+// verdict is what an outcome says of the backend server: what it makes of a body
+// that broke off says nothing.
+func (a *attempt) verdict(o health.Outcome) health.Outcome {
+	if a.body.broken() {
+		return health.Dropped
+	}
+	return o
+}
+
 func (a *attempt) finish(o health.Outcome, answer *fence.Answer) {
 	s := a.server
+	o = a.verdict(o)
 	s.Do(func(t turn.Turn, d *desk.Desk) desk.Ops {
 		return d.Finish(t, a.id, health.Result{Outcome: o, Took: a.took}, answer)
 	})
--- a/internal/proxy/side/intake.go
+++ b/internal/proxy/side/intake.go
@@ -20,9 +20,12 @@
 // intake receives the frames that follow a RequestHead. It is the request's
 // body, and notices when the ingress goes away.
 type intake struct {
-	conn    *wire.Conn
-	lost    func()
-	done    func()
+	conn *wire.Conn
+	lost func()
+	done func()
+	// read is called once, when the whole body has been read.
+	read    func()
+	wasRead bool
 	mutex   sync.Mutex
 	moved   *sync.Cond
 	held    []byte
@@ -121,8 +124,25 @@
 	return i.ended
 }
 
+// broken reports whether the body broke off before its end, which is no fault of
+// the backend server's.
+func (i *intake) broken() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.err != nil && !i.ended
+}
+
 // Read returns the body as it comes.
 func (i *intake) Read(p []byte) (int, error) {
+	n, err := i.next(p)
+	if errors.Is(err, io.EOF) && !i.wasRead {
+		i.wasRead = true
+		i.read()
+	}
+	return n, err
+}
+
+func (i *intake) next(p []byte) (int, error) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	for len(i.held) == 0 && !i.ended && i.err == nil {
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -27,12 +27,17 @@
 
 const (
 	maxIDBytes = 128
+	// maxServers bounds the servers of one node, known ones that have gone
+	// included.
+	maxServers = 4096
 	maxSlots   = 1024
 )
 
 var (
 	// ErrInvalid marks an announcement with a bad field.
 	ErrInvalid = errors.New("roster: invalid announcement")
+	// ErrFull marks an announcement to a node that knows too many servers.
+	ErrFull = errors.New("roster: too many backend servers")
 	// ErrStale marks an announcement older than one already taken.
 	ErrStale = errors.New("roster: stale incarnation")
 )
@@ -123,6 +128,9 @@
 	if known && e.gone && a.Incarnation == e.Incarnation && e.State == Draining {
 		return Change{}, errors.Wrapf(ErrStale, "incarnation %d has left", a.Incarnation)
 	}
+	if !known && len(r.servers) >= maxServers {
+		return Change{}, errors.Wrapf(ErrFull, "%d are known", len(r.servers))
+	}
 	if r.servers == nil {
 		r.servers = map[ident.Backend]*entry{}
 	}
