--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -98,7 +98,7 @@
 		}
 		x.last = result.trouble
 		x.moved = result.moved
-		step := x.plan.Next(x.now(), result.outcome)
+		step := x.after(result.outcome)
 		if step != retry.Again || !x.body.replay() {
 			x.end(x.finalStep(step))
 			return
@@ -139,6 +139,14 @@
 	return x.pick()
 }
 
+// after decides what follows an attempt. The budget is the lane's, so it needs
+// the lane's mutex.
+func (x *exchange) after(o retry.Outcome) retry.Step {
+	var step retry.Step
+	x.server.with(x.match.Entry.Name, func(t turn.Turn, _ *lane) { step = x.plan.Next(t.Now, o) })
+	return step
+}
+
 func (x *exchange) finalStep(step retry.Step) retry.Step {
 	if step == retry.Again {
 		return x.plan.GiveUp()
--- a/internal/proxy/node/faults_test.go
+++ b/internal/proxy/node/faults_test.go
@@ -214,6 +214,25 @@
 	}
 }
 
+// TestRetriesTogether: many callers at once whose look-ups break and are tried
+// again share one budget.
+func TestRetriesTogether(t *testing.T) {
+	b, _ := flakyBench(t, server.Config{}, 1, 2)
+	b.servers[0].Fall(server.Sickness{Truncating: 1})
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 20 {
+				got := <-b.send(b.request(0, http.MethodGet, "/any", nil))
+				if got.err != nil || got.status != http.StatusOK && got.outcome == "" {
+					t.Errorf("%+v", got)
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
 // TestHedgeOvertakesASlowServer: one of two servers hangs; look-ups are answered
 // by the other all the same, and orders are never sent twice at once.
 func TestHedgeOvertakesASlowServer(t *testing.T) {
