link: giving up a session does not cut the streams that are open on it

A ping that came too late had made one attempt drop the session, which cut all others on it; together they used up the retry budget. Ruled out: the cold-start ramp (waiting attempts get their slots in time) and the health test (no level with so few samples). Conclusion: one late sign of life no longer costs the others their attempts.

--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -21,6 +21,8 @@
 	writeTimeout      = 10 * time.Second
 	streamWindow      = 512 << 10
 	acceptBacklog     = 1024
+	// retireBeat is how often a session that was given up is looked at.
+	retireBeat = time.Second
 )
 
 var (
@@ -173,8 +175,10 @@
 	}
 }
 
-// Drop ends the session to an address, for instance where its peer has fallen
-// silent. The next stream dials anew.
+// Drop gives up the session to an address, for instance where its peer has
+// fallen silent: the next stream dials anew. Streams that are open on it go on,
+// since silence to one does not prove that the others are lost; the session ends
+// with the last of them, or when its keep-alive fails.
 func (p *Pool) Drop(address string) {
 	p.mutex.Lock()
 	l := p.lines[address]
@@ -184,12 +188,27 @@
 	}
 	select {
 	case <-l.ready:
-		p.forget(address, l)
-		if l.session != nil {
-			_ = l.session.Close()
-		}
 	default:
+		return
+	}
+	p.forget(address, l)
+	if l.session != nil {
+		go retire(l.session)
+	}
+}
+
+// retire closes a session once it has no more streams.
+func retire(session *yamux.Session) {
+	ticker := time.NewTicker(retireBeat)
+	defer ticker.Stop()
+	for session.NumStreams() > 0 {
+		select {
+		case <-ticker.C:
+		case <-session.CloseChan():
+			return
+		}
 	}
+	_ = session.Close()
 }
 
 // Sessions returns how many sessions are open.
--- a/internal/proxy/node/caller_test.go
+++ b/internal/proxy/node/caller_test.go
@@ -33,6 +33,7 @@
     slots: 3
     deadline: 60s
     max-request-bytes: 4000000
+    retry: {attempts: 6, budget-percent: 100}
     routes:
       - path: /lookup
         methods: [POST]
