route: a sidecar with room goes before a full one

Cause: TestLeavingServerGetsNothingNew waited for a fourth run that stood in line behind three at one sidecar while another had free slots: latency outweighed load.

--- a/cmd/figwick/demo.go
+++ b/cmd/figwick/demo.go
@@ -14,6 +14,7 @@
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/fake/fleet"
 	"github.com/figwick/figwick/internal/fake/server"
+	"github.com/figwick/figwick/internal/policy/limit"
 )
 
 const (
@@ -71,6 +72,11 @@
 		}
 	}
 	printDemo(out, f)
+	// New homes share out no limits for one lease.
+	select {
+	case <-time.After(limit.Lease):
+	case <-ctx.Done():
+	}
 	load := startLoad(running, f)
 	select {
 	case <-time.After(grayAfter):
--- a/internal/policy/route/picker.go
+++ b/internal/policy/route/picker.go
@@ -210,12 +210,22 @@
 	if b == a {
 		b = from[len(from)-1]
 	}
-	if t.Random.IntN(exploreShare) > 0 && p.cost(t, b) < p.cost(t, a) {
+	if t.Random.IntN(exploreShare) > 0 && p.better(t, b, a) {
 		return b
 	}
 	return a
 }
 
+// better tells whether one sidecar suits an attempt better than another: one
+// with room goes before a full one, whatever its latency.
+func (p *Picker) better(t turn.Turn, one, other *sidecar) bool {
+	hasRoom, otherHasRoom := one.load(t.Now) < full, other.load(t.Now) < full
+	if hasRoom != otherHasRoom {
+		return hasRoom
+	}
+	return p.cost(t, one) < p.cost(t, other)
+}
+
 // cost is how long an attempt would take, in relative terms.
 func (p *Picker) cost(t turn.Turn, s *sidecar) float64 {
 	cost := s.load(t.Now)
