limit: a caller that is new to a node has a part of its burst

Cause: the demo's own callers, at 100 of 200 requests a second, got 147 of 1971 refused: until the first share comes, a second later, a node let through only the base of a tenth. Change: a new bucket starts with the burst split among up to four nodes; what is above the present share's burst is used up, not cut.

--- a/internal/policy/limit/doc.go
+++ b/internal/policy/limit/doc.go
@@ -9,7 +9,7 @@
 //
 // All shares under lease add up to the rate at most, and the base shares of
 // nodes without one to BaseFraction of it: callers get at most 1+BaseFraction
-// times their rate. While the fleet is split, each side has a home; a Home that
+// times their rate, and once, at each node they are new to, a part of their burst. While the fleet is split, each side has a home; a Home that
 // sees only a part of the known nodes shares out only that part of the rate.
 // A new Home grants nothing for one Lease, until its predecessor's shares have
 // lapsed.
--- a/internal/policy/limit/limit_test.go
+++ b/internal/policy/limit/limit_test.go
@@ -123,6 +123,11 @@
 		assert.Check(t, got <= most+1, "%.1f", got)
 		assert.Check(t, got >= 0.85*rate, "%.1f", got)
 	})
+	t.Run("a caller that comes anew is not refused below its limit", func(t *testing.T) {
+		f := newFleet(6, 6, 6)
+		got := f.run(time.Second)
+		assert.Check(t, got >= 15, "%.1f", got)
+	})
 	t.Run("without any home only the base passes", func(t *testing.T) {
 		f := newFleet(200, 200)
 		f.homeOf = []int{-1, -1}
--- a/internal/policy/limit/local.go
+++ b/internal/policy/limit/local.go
@@ -17,6 +17,9 @@
 	BaseFraction = 0.1
 	// demandWindow is the time over which demand is averaged.
 	demandWindow = time.Second
+	// startNodes bounds the nodes among which a burst is split for a caller that
+	// is new to a node, so that it is not refused before its first share comes.
+	startNodes = 4
 	// idleAfter is when a caller without requests is forgotten.
 	idleAfter = time.Minute
 )
@@ -128,7 +131,7 @@
 	b, found := l.buckets[key]
 	if !found {
 		b = &bucket{rate: rate, filled: now, counted: now}
-		b.tokens = l.burst(b, l.base(b))
+		b.tokens = max(1, rate.Burst/float64(min(max(l.Nodes, 1), startNodes)))
 		l.buckets[key] = b
 	}
 	b.rate = rate
@@ -161,7 +164,9 @@
 func (b *bucket) fill(now time.Time, per, burst float64) {
 	elapsed := now.Sub(b.filled).Seconds()
 	b.filled = now
-	b.tokens = min(burst, b.tokens+per*elapsed)
+	if b.tokens < burst {
+		b.tokens = min(burst, b.tokens+per*elapsed)
+	}
 }
 
 // count adds one request to the demand.
