--- /dev/null
+++ b/cmd/figwick/platform.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/figwick/figwick/platform"
+)
+
+func platformCommand() *cli.Command {
+	var file, level string
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run one node on the users' platform",
+		Description: "Takes its settings from the platform's settings file. Logs go to standard output as JSON. " +
+			"SIGTERM or SIGINT stops it gracefully; a second one at once. SIGHUP reads the settings again.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Usage: "the platform's settings file", Destination: &file,
+				Sources: cli.EnvVars(platform.SettingsVariable),
+			},
+			text("log-level", &level, "info", "one of trace, debug, info, warn, error"),
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			settings, err := platform.ReadSettings(file)
+			if err != nil {
+				return coded(codeUsage, err)
+			}
+			log := hclog.New(&hclog.LoggerOptions{
+				Name: "figwick", Level: hclog.LevelFromString(level), JSONFormat: true, Output: os.Stdout,
+			})
+			abort, end := context.WithCancel(ctx)
+			defer end()
+			ctx, stop := stopSignals(ctx, end)
+			defer stop()
+			return platform.Run(ctx, abort, settings, log, version)
+		},
+	}
+}
--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -43,6 +43,7 @@
 	BackendTrial     = Event{305, "backend-trial", hclog.Info, "An ejected backend server gets a trickle of requests."}
 	BackendReturned  = Event{306, "backend-returned", hclog.Info, "A backend server is back in service."}
 	BackendMoved     = Event{307, "backend-moved", hclog.Info, "A backend server announced itself to another node with a higher incarnation."}
+	BackendRefused   = Event{308, "backend-refused", hclog.Warn, "What a backend server said of itself could not be read, or was older than what is known; it was used for nothing."}
 	OutcomeUnknown   = Event{401, "outcome-unknown", hclog.Warn, "A caller was told that its request may have been run."}
 	AnswerRecovered  = Event{402, "answer-recovered", hclog.Info, "An answer lost on its way was fetched by a fence."}
 	AnswerCut        = Event{403, "answer-cut", hclog.Warn, "An answer broke off after its first bytes had gone to the caller; the caller's connection was cut."}
@@ -53,6 +54,8 @@
 	PeerRefused      = Event{505, "peer-refused", hclog.Warn, "A session or frame of a peer broke the protocol."}
 	StoreAway        = Event{601, "store-away", hclog.Warn, "The store does not answer; work goes on without it."}
 	StoreBack        = Event{602, "store-back", hclog.Info, "The store answers again."}
+	EntryLost        = Event{603, "entry-lost", hclog.Warn, "The lease of the node's entry in the store has ended; the entry is written again."}
+	EntryBroken      = Event{604, "entry-broken", hclog.Warn, "Another node's entry in the store could not be read; it was used for nothing."}
 )
 
 // All returns the catalogue by number.
@@ -60,10 +63,10 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked,
 		ConfigAdopted, ConfigAccepted, ConfigRefused, ConfigOld, ConfigBroken,
-		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved,
+		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused,
 		OutcomeUnknown, AnswerRecovered, AnswerCut,
 		NodeJoined, NodeSuspected, NodeDead, NodeBack, PeerRefused,
-		StoreAway, StoreBack,
+		StoreAway, StoreBack, EntryLost, EntryBroken,
 	}
 }
 
--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -32,6 +32,14 @@
 	Leaving
 )
 
+const (
+	// loneThreshold is the sum at which a server that is judged by a prior level
+	// raises an alarm: about three failures in a row.
+	loneThreshold = 7.0
+	// loneTrialAnswers is how many good answers end its trial.
+	loneTrialAnswers = 2
+)
+
 type (
 	// Kind is what happens to an attempt that comes.
 	Kind int
@@ -52,6 +60,13 @@
 		StartBefore time.Time
 		// Deadline is when its answer is of no more use.
 		Deadline time.Time
+		// Target is how long after its start an answer is of full use; zero is
+		// not set. Latencies are judged relative to it.
+		Target time.Duration
+		// Priority is its rank under load; 0 goes first.
+		Priority int
+		// Direct asks to be refused rather than to wait.
+		Direct bool
 	}
 
 	// Decision is the answer to an attempt that comes.
@@ -59,6 +74,8 @@
 		Kind   Kind
 		Reason Reason
 		Server roster.Announcement
+		// Pause is how long such attempts will be refused, as far as is known.
+		Pause time.Duration
 	}
 
 	// Grant starts an attempt that waited.
@@ -101,6 +118,7 @@
 		services map[ident.Service]*service
 		held     map[ident.Attempt]*held
 		leaving  bool
+		prior    health.Level
 	}
 
 	service struct {
@@ -111,6 +129,7 @@
 		others  []floor.Seen
 		floor   int
 		servers map[ident.Backend]*standing
+		prior   health.Level
 	}
 
 	standing struct {
@@ -140,6 +159,12 @@
 	}
 }
 
+// Believe sets the level that lone servers are judged by while nothing is known
+// of others. It is called before anything else.
+func (d *Desk) Believe(prior health.Level) {
+	d.prior = prior
+}
+
 // Admit decides on an attempt that comes.
 func (d *Desk) Admit(t turn.Turn, a Attempt) Decision {
 	if d.leaving {
@@ -162,6 +187,8 @@
 		Repeatable: a.Repeatable,
 		LastResort: a.LastResort,
 		Deadline:   a.Deadline,
+		Priority:   a.Priority,
+		Direct:     a.Direct,
 	})
 	switch decision {
 	case queue.Granted:
@@ -176,7 +203,7 @@
 		return refuse(NoBackend)
 	default:
 		d.fences.Withdraw(a.ID)
-		return refuse(Busy)
+		return Decision{Kind: Refused, Reason: Busy, Pause: s.tracker.Pause(t)}
 	}
 }
 
@@ -196,7 +223,9 @@
 	if s.servers[h.server] != h.standing {
 		return ops
 	}
-	d.follow(t, s, s.tracker.Finish(t, h.server, id, r), &ops)
+	judged := r
+	judged.Took = health.Relative(r.Took, h.Target)
+	d.follow(t, s, s.tracker.Finish(t, h.server, id, judged), &ops)
 	took := r.Took
 	if r.Outcome == health.Dropped {
 		took = 0
@@ -214,7 +243,7 @@
 	}
 	s := d.services[h.Service]
 	if s.servers[h.server] == h.standing {
-		s.tracker.Begin(t, h.server, id)
+		s.tracker.Begin(t, h.server, id, h.Target)
 	}
 }
 
@@ -343,7 +372,7 @@
 	h.server = g.Server
 	h.standing = s.servers[g.Server]
 	if !h.HasBody {
-		s.tracker.Begin(t, g.Server, g.Attempt)
+		s.tracker.Begin(t, g.Server, g.Attempt, h.Target)
 	}
 }
 
--- a/internal/policy/desk/servers.go
+++ b/internal/policy/desk/servers.go
@@ -31,15 +31,52 @@
 
 // Announce takes a backend server's announcement.
 func (d *Desk) Announce(t turn.Turn, a roster.Announcement) (Ops, error) {
+	var ops Ops
+	older, err := d.roster.Supersede(a)
+	if err != nil {
+		return Ops{}, err
+	}
 	change, err := d.roster.Announce(t.Now, a)
 	if err != nil {
 		return Ops{}, err
 	}
-	var ops Ops
+	for _, o := range older {
+		d.change(t, o, &ops)
+	}
 	d.change(t, change, &ops)
 	return ops, nil
 }
 
+// Depart forgets a backend server for good, whatever its incarnation.
+func (d *Desk) Depart(t turn.Turn, id ident.Backend) (Ops, bool) {
+	var ops Ops
+	change, known := d.roster.Depart(t.Now, id)
+	if known {
+		d.change(t, change, &ops)
+	}
+	return ops, known
+}
+
+// Serving returns the service that has servers here which take work, and their
+// slots. Of several services it is the first by name.
+func (d *Desk) Serving() (ident.Service, int) {
+	if d.leaving {
+		return "", 0
+	}
+	for _, name := range d.names() {
+		slots := 0
+		for _, v := range d.services[name].servers {
+			if v.counts() {
+				slots += v.Slots
+			}
+		}
+		if slots > 0 {
+			return name, slots
+		}
+	}
+	return "", 0
+}
+
 // Leave forgets a backend server that says it has gone.
 func (d *Desk) Leave(t turn.Turn, id ident.Backend, incarnation ident.Incarnation) (Ops, bool) {
 	var ops Ops
@@ -136,6 +173,7 @@
 		tracker: health.New(health.Config{}),
 		holder:  floor.Holder{Node: d.node, Instance: d.instance},
 		servers: map[ident.Backend]*standing{},
+		prior:   d.prior,
 	}
 	s.configure(d.table.Service(name))
 	d.services[name] = s
@@ -241,6 +279,11 @@
 	}
 	s.line.Length = length
 	s.floor = floorAt
+	trade.Prior = s.prior
+	if s.prior.Weight > 0 {
+		trade.Threshold = loneThreshold
+		trade.TrialAnswers = loneTrialAnswers
+	}
 	s.tracker.Configure(trade)
 }
 
--- a/internal/policy/health/alarm.go
+++ b/internal/policy/health/alarm.go
@@ -85,7 +85,7 @@
 			}
 		})
 		for _, begun := range o.begun {
-			if age := logOf(t.Now.Sub(begun)); age > level.Mean {
+			if age := logOf(begun.age(t.Now)); age > level.Mean {
 				sum += age
 				total++
 			}
--- a/internal/policy/health/level.go
+++ b/internal/policy/health/level.go
@@ -14,11 +14,14 @@
 // what is known of those elsewhere. Without others there is no level, and no
 // server is judged: its own past tells nothing of what is normal now.
 func (k *Tracker) level(except *server) Level {
-	local := k.local(except)
-	if k.remote.Weight <= 0 {
-		return local
+	level := k.local(except)
+	if k.remote.Weight > 0 {
+		level = blend(level, k.remote)
 	}
-	return blend(local, k.remote)
+	if level.Weight == 0 {
+		return k.config.Prior
+	}
+	return level
 }
 
 func (k *Tracker) local(except *server) Level {
--- a/internal/policy/health/measure_test.go
+++ b/internal/policy/health/measure_test.go
@@ -57,7 +57,7 @@
 func (k *tracker) at(now time.Time) turn.Turn { return turn.Turn{Now: now, Random: k.random} }
 
 func (k *tracker) begin(now time.Time, server, id int) {
-	k.Begin(k.at(now), name(server), attempt(id))
+	k.Begin(k.at(now), name(server), attempt(id), 0)
 }
 
 func (k *tracker) finish(now time.Time, server, id int, r health.Result) []int {
--- a/internal/policy/health/score.go
+++ b/internal/policy/health/score.go
@@ -86,6 +86,15 @@
 	return min(math.Log1p(math.Exp(min(z, 50))), mostAge)
 }
 
+// Relative scales a latency to a target of one second, so that requests of
+// different kinds can be compared. Without a target it stays as it is.
+func Relative(took, target time.Duration) time.Duration {
+	if target <= 0 {
+		return took
+	}
+	return time.Duration(float64(took) * float64(time.Second) / float64(target))
+}
+
 func logOf(took time.Duration) float64 {
 	return math.Log(max(took, time.Microsecond).Seconds())
 }
--- a/internal/policy/health/server.go
+++ b/internal/policy/health/server.go
@@ -41,7 +41,13 @@
 
 		ring  [ringSamples]sample
 		next  int
-		begun map[ident.Attempt]time.Time
+		begun map[ident.Attempt]flight
+	}
+
+	// flight is a request without an answer yet.
+	flight struct {
+		at     time.Time
+		target time.Duration
 	}
 )
 
@@ -51,7 +57,7 @@
 		since:    now,
 		wellFrom: now,
 		variance: startSpread * startSpread,
-		begun:    map[ident.Attempt]time.Time{},
+		begun:    map[ident.Attempt]flight{},
 	}
 }
 
@@ -105,7 +111,7 @@
 func (s *server) ageSum(level Level, now time.Time) float64 {
 	sum := 0.0
 	for _, begun := range s.begun {
-		sum += ageRatio(level, now.Sub(begun))
+		sum += ageRatio(level, begun.age(now))
 	}
 	return sum
 }
@@ -114,13 +120,18 @@
 func (s *server) oldest(now time.Time) time.Time {
 	oldest := now
 	for _, begun := range s.begun {
-		if begun.Before(oldest) {
-			oldest = begun
+		if begun.at.Before(oldest) {
+			oldest = begun.at
 		}
 	}
 	return oldest
 }
 
+// age is how long a request has been in flight, relative to its target.
+func (f flight) age(now time.Time) time.Duration {
+	return Relative(now.Sub(f.at), f.target)
+}
+
 func (s *server) spread() float64 {
 	return math.Sqrt(s.variance)
 }
--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -108,6 +109,11 @@
 		Threshold float64
 		Hold      time.Duration
 		MaxHold   time.Duration
+		// TrialAnswers replaces the package's; zero is the package's.
+		TrialAnswers int
+		// Prior is the level believed while nothing is known of other servers;
+		// without weight a lone server is not judged.
+		Prior Level
 	}
 
 	// Tracker judges the servers of one service. It is not safe for concurrent
@@ -141,13 +147,28 @@
 	k.servers = slices.DeleteFunc(k.servers, func(s *server) bool { return s.id == id })
 }
 
-// Begin notes that a request goes to a server.
-func (k *Tracker) Begin(t turn.Turn, id ident.Backend, attempt ident.Attempt) {
+// Begin notes that a request goes to a server. Its age is judged relative to a
+// target latency where that is not zero.
+func (k *Tracker) Begin(t turn.Turn, id ident.Backend, attempt ident.Attempt, target time.Duration) {
 	if s := k.find(id); s != nil {
-		s.begun[attempt] = t.Now
+		s.begun[attempt] = flight{at: t.Now, target: target}
 	}
 }
 
+// Pause returns how long all servers still rest; zero where one does not.
+func (k *Tracker) Pause(t turn.Turn) time.Duration {
+	pause := time.Duration(0)
+	for i, s := range k.servers {
+		if s.state != Ejected {
+			return 0
+		}
+		if left := s.holdEnd.Sub(t.Now); i == 0 || left < pause {
+			pause = left
+		}
+	}
+	return max(pause, 0)
+}
+
 // Headed notes that the head of an answer has come: from there on the request's
 // age is no evidence, since its caller may be slow to read.
 func (k *Tracker) Headed(id ident.Backend, attempt ident.Attempt) {
@@ -275,7 +296,7 @@
 	} else {
 		s.goodRun++
 	}
-	if s.goodRun < TrialAnswers {
+	if s.goodRun < cmp.Or(k.config.TrialAnswers, TrialAnswers) {
 		return nil
 	}
 	return k.back(t, s)
--- a/internal/policy/queue/line.go
+++ b/internal/policy/queue/line.go
@@ -58,6 +58,10 @@
 		LastResort bool
 		// Deadline is when its answer is no longer of use.
 		Deadline time.Time
+		// Priority orders the line; 0 goes first.
+		Priority int
+		// Direct entries are refused rather than made to wait.
+		Direct bool
 	}
 
 	// Grant gives a slot of a server to an attempt.
@@ -131,7 +135,7 @@
 
 // Enter decides on an attempt that comes.
 func (l *Line) Enter(t turn.Turn, e Entry) (Decision, Grant) {
-	if len(l.waiting) == 0 {
+	if len(l.waiting) == 0 || e.Priority < l.waiting[0].Priority {
 		if s := l.pick(t, e); s != nil {
 			s.Busy++
 			return Granted, Grant{Attempt: e.Attempt, Server: s.ID}
@@ -144,13 +148,24 @@
 		}
 		return Busy, Grant{}
 	}
-	if len(l.waiting) >= l.Length*l.open() || l.hopeless(t, e, slots) {
+	at := l.place(e)
+	if e.Direct || len(l.waiting) >= l.Length*l.open() || l.hopeless(t, e, at, slots) {
 		return Busy, Grant{}
 	}
-	l.waiting = append(l.waiting, e)
+	l.waiting = slices.Insert(l.waiting, at, e)
 	return Waiting, Grant{}
 }
 
+// place returns where an entry stands in the line: behind all that are at least
+// as urgent.
+func (l *Line) place(e Entry) int {
+	at := len(l.waiting)
+	for at > 0 && l.waiting[at-1].Priority > e.Priority {
+		at--
+	}
+	return at
+}
+
 // Leave gives back the slot of an attempt that took so long; a zero time says
 // nothing about the service time.
 func (l *Line) Leave(t turn.Turn, id ident.Backend, took time.Duration) Outcome {
@@ -227,10 +242,10 @@
 	return slots
 }
 
-// hopeless tells whether an attempt at the end of the line would miss its
+// hopeless tells whether an attempt at a place in the line would miss its
 // deadline.
-func (l *Line) hopeless(t turn.Turn, e Entry, slots int) bool {
-	rounds := time.Duration(len(l.waiting)+1) * l.mean / time.Duration(slots)
+func (l *Line) hopeless(t turn.Turn, e Entry, at, slots int) bool {
+	rounds := time.Duration(at+1) * l.mean / time.Duration(slots)
 	return t.Now.Add(rounds + l.mean).After(e.Deadline)
 }
 
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -1,7 +1,7 @@
 package retry
 
 const (
-	// mostTokens bounds what a quiet time saves up.
+	// mostTokens bounds what a quiet time saves up, where nothing else is set.
 	mostTokens = 20.0
 	// firstTokens lets the first requests of a process retry.
 	firstTokens = 3.0
@@ -11,6 +11,9 @@
 // Budget is the retries that one node may still cause for one
 // service. The zero value is ready. It is not safe for concurrent use.
 type Budget struct {
+	// Most bounds what is saved up: the node's part of what the whole fleet may
+	// do beyond the share. Zero is the package's own bound.
+	Most   float64
 	begun  bool
 	tokens float64
 	// Spent and Denied count since the start.
@@ -22,9 +25,9 @@
 func (b *Budget) Earn(share float64) {
 	if !b.begun {
 		b.begun = true
-		b.tokens = firstTokens
+		b.tokens = min(firstTokens, b.most())
 	}
-	b.tokens = min(mostTokens, b.tokens+share/percent)
+	b.tokens = min(b.most(), b.tokens+share/percent)
 }
 
 // Spend takes one attempt from the budget, or reports that there is none left.
@@ -42,3 +45,11 @@
 func (b *Budget) Tokens() float64 {
 	return b.tokens
 }
+
+// most is never below one, or nothing could ever be spent.
+func (b *Budget) most() float64 {
+	if b.Most == 0 {
+		return mostTokens
+	}
+	return max(1, b.Most)
+}
--- a/internal/policy/retry/plan.go
+++ b/internal/policy/retry/plan.go
@@ -13,6 +13,8 @@
 	Broken
 	// Lost attempts may or may not have been started.
 	Lost
+	// Shed attempts reached a backend server, which did not run them.
+	Shed
 )
 
 // What to do next.
@@ -36,11 +38,15 @@
 	Plan struct {
 		Repeatable bool
 		// Most is the most attempts, the first included.
-		Most     int
-		Deadline time.Time
-		Budget   *Budget
+		Most int
+		// MostRefused is the most attempts that reach no backend server; they
+		// then count apart from Most. Zero counts them in.
+		MostRefused int
+		Deadline    time.Time
+		Budget      *Budget
 
 		attempts int
+		refused  int
 		mayRun   bool
 	}
 )
@@ -50,6 +56,11 @@
 	return p.attempts
 }
 
+// Refused returns how many attempts reached no backend server.
+func (p *Plan) Refused() int {
+	return p.refused
+}
+
 // MayHaveRun reports whether any attempt was started or may have been.
 func (p *Plan) MayHaveRun() bool {
 	return p.mayRun
@@ -57,6 +68,9 @@
 
 // LastTry reports whether the next attempt is the last one.
 func (p *Plan) LastTry() bool {
+	if p.MostRefused > 0 {
+		return p.attempts-p.refused >= p.Most-1
+	}
 	return p.attempts >= p.Most-1
 }
 
@@ -65,18 +79,29 @@
 	p.attempts++
 	rerun := o == Broken || o == Lost
 	p.mayRun = p.mayRun || rerun
-	if p.attempts >= p.Most || !now.Before(p.Deadline) {
+	if !rerun && o != Shed {
+		p.refused++
+	}
+	if p.spent() || !now.Before(p.Deadline) {
 		return p.giveUp()
 	}
-	if !rerun {
+	if !rerun && o != Shed {
 		return Again
 	}
-	if !p.Repeatable || !p.Budget.Spend() {
+	if rerun && !p.Repeatable || !p.Budget.Spend() {
 		return p.giveUp()
 	}
 	return Again
 }
 
+// spent tells whether no further attempt may be made.
+func (p *Plan) spent() bool {
+	if p.MostRefused > 0 {
+		return p.refused >= p.MostRefused || p.attempts-p.refused >= p.Most
+	}
+	return p.attempts >= p.Most
+}
+
 // giveUp is truthful over all attempts, not only the last.
 func (p *Plan) giveUp() Step {
 	if p.mayRun {
--- a/internal/policy/route/load_test.go
+++ b/internal/policy/route/load_test.go
@@ -251,7 +251,7 @@
 func (l *load) refuse(r *request) {
 	told := l.told(r)
 	l.after(l.distance(r), func() {
-		l.pickers[r.ingress].Refused(l.turn(), fmt.Sprint(r.sidecar), told)
+		l.pickers[r.ingress].Refused(l.turn(), fmt.Sprint(r.sidecar), told, 0)
 		l.settle(r, retry.Refused)
 	})
 }
--- a/internal/policy/route/picker.go
+++ b/internal/policy/route/picker.go
@@ -150,8 +150,9 @@
 	s.latency += time.Duration(smoothing * float64(took-s.latency))
 }
 
-// Refused notes that an attempt was refused.
-func (p *Picker) Refused(t turn.Turn, address string, told Told) {
+// Refused notes that an attempt was refused, and that further ones will be
+// for a pause, where the sidecar tells one.
+func (p *Picker) Refused(t turn.Turn, address string, told Told, pause time.Duration) {
 	s := p.find(address)
 	if s == nil {
 		return
@@ -159,7 +160,7 @@
 	s.underway = max(0, s.underway-1)
 	s.hear(t, told)
 	s.failures = 0
-	s.refuseUntil = t.Now.Add(busyAvoid)
+	s.refuseUntil = t.Now.Add(max(busyAvoid, pause))
 }
 
 // Unreachable notes that the path to a sidecar failed or fell silent.
@@ -253,7 +254,9 @@
 // hear takes a told load. What this ingress has under way is in it already.
 func (s *sidecar) hear(t turn.Turn, told Told) {
 	s.told = t.Now
-	s.Slots = told.Slots
+	if told.Slots > 0 {
+		s.Slots = told.Slots
+	}
 	s.busy = max(0, told.Slots-told.Free+told.Queued-s.underway)
 }
 
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -30,6 +30,8 @@
 	head    *wire.ResponseHead
 	held    []byte
 	control *http.ResponseController
+	// trailers are those of an answer that is kept as a fallback.
+	trailers []*wire.Header
 }
 
 // receive takes the frames of an attempt up to its outcome.
@@ -99,7 +101,14 @@
 // whole passes an answer on that has come to its end.
 func (a *attempt) whole(end *wire.End) result {
 	reply := a.reply
-	a.note(end.Load, reply.head.Status >= http.StatusInternalServerError)
+	failed := reply.head.Status >= http.StatusInternalServerError
+	a.note(end.Load, failed)
+	if failed && a.x.repeatable && !a.x.committed {
+		r := a.failed(retry.Broken, "answer", errors.Newf("backend server answered %d", reply.head.Status))
+		reply.trailers = end.Trailers
+		r.fallback = reply
+		return r
+	}
 	if err := reply.finish(end.Trailers); err != nil {
 		return a.callerGone(err)
 	}
@@ -116,9 +125,13 @@
 	}
 	a.observe(refusal.Load, a.x.now())
 	a.x.server.with(a.x.match.Entry.Name, func(t turn.Turn, l *lane) {
-		l.picker.Refused(t, a.sidecar.Address, told(refusal.Load))
+		l.picker.Refused(t, a.sidecar.Address, told(refusal.Load), time.Duration(refusal.PauseMs)*time.Millisecond)
 	})
-	r := a.failed(retry.Refused, "refused", errors.Newf("refused: %s", refusal.Detail))
+	outcome := retry.Refused
+	if refusal.Arrived {
+		outcome = retry.Shed
+	}
+	r := a.failed(outcome, "refused", errors.Newf("refused: %s", refusal.Detail))
 	r.moved = refusal.Reason == wire.Reason_REASON_NO_BACKEND || refusal.Reason == wire.Reason_REASON_LEAVING
 	return r
 }
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -23,6 +23,9 @@
 	openTimeout = time.Second
 	// patience is how long an attempt may be silent before its path is tried.
 	patience = 500 * time.Millisecond
+	// resortTries is how many sidecars with a line are asked before a backend
+	// server that is held to be sick.
+	resortTries = 2
 	// pingTimeout bounds the sign of life that a silent path must give.
 	pingTimeout = time.Second
 )
@@ -35,6 +38,9 @@
 		moved   bool
 		outcome retry.Outcome
 		trouble trouble
+		// fallback is a backend server's failure, told to the caller if nothing
+		// better comes.
+		fallback *answer
 	}
 
 	// attempt is one attempt on its stream to a sidecar.
@@ -72,7 +78,7 @@
 	stop := context.AfterFunc(a.ctx, a.stream.Cancel)
 	defer stop()
 	r := a.exchange()
-	if r.outcome == retry.Lost && !x.repeatable && ctx.Err() == nil {
+	if r.outcome == retry.Lost && !x.repeatable && ctx.Err() == nil && x.now().Before(x.deadline) {
 		r = a.settle(ctx, r)
 	}
 	return r
@@ -85,7 +91,7 @@
 		sidecar: sidecar,
 		started: make(chan struct{}),
 	}
-	opening, done := context.WithTimeout(ctx, min(openTimeout, x.deadline.Sub(x.now())))
+	opening, done := context.WithTimeout(ctx, min(x.server.config.Path.Open, x.deadline.Sub(x.now())))
 	defer done()
 	stream, err := x.server.config.Links.Open(opening, sidecar.Address)
 	if err != nil {
@@ -127,9 +133,15 @@
 		Host:          r.Host,
 		Headers:       x.headers,
 		ContentLength: x.body.length,
-		LastResort:    x.plan.LastTry(),
+		LastResort:    x.lastResort(),
+		Direct:        x.plan.Refused() < x.server.config.DirectTries,
 		Revision:      uint64(x.server.Table().Revision),
 		Level:         x.level(a.sidecar.Address),
+		Origin:        string(x.server.config.Origin),
+		Priority:      uint32(x.match.Priority),
+	}
+	if x.match.Target > 0 {
+		head.TargetMs = max(1, (x.match.Target - a.sent.Sub(x.arrived)).Milliseconds())
 	}
 	for name := range r.Trailer {
 		head.TrailerNames = append(head.TrailerNames, name)
@@ -137,6 +149,15 @@
 	return head
 }
 
+// lastResort tells whether the attempt may go to a backend server that is held
+// to be sick.
+func (x *exchange) lastResort() bool {
+	if x.server.config.DirectTries == 0 {
+		return x.plan.LastTry()
+	}
+	return x.plan.Refused() >= x.server.config.DirectTries+resortTries
+}
+
 func (x *exchange) level(except string) *wire.Level {
 	var level health.Level
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
@@ -182,7 +203,7 @@
 // deadline. The function it returns ends the watching.
 func (a *attempt) watch() func() {
 	clock := a.x.server.config.Clock
-	quiet := clock.AfterFunc(patience, func() { a.probe() })
+	quiet := clock.AfterFunc(a.x.server.config.Path.Patience, func() { a.probe() })
 	late := clock.AfterFunc(a.x.deadline.Sub(a.sent), func() { a.late() })
 	return func() {
 		quiet.Stop()
@@ -200,7 +221,7 @@
 
 func (a *attempt) probe() {
 	for a.ctx.Err() == nil {
-		ctx, done := context.WithTimeout(a.ctx, pingTimeout)
+		ctx, done := context.WithTimeout(a.ctx, a.x.server.config.Path.Ping)
 		err := a.stream.Ping(ctx)
 		done()
 		if a.ctx.Err() != nil {
@@ -213,7 +234,7 @@
 		select {
 		case <-a.ctx.Done():
 			return
-		case <-a.x.server.config.Clock.After(patience):
+		case <-a.x.server.config.Clock.After(a.x.server.config.Path.Patience):
 		}
 	}
 }
@@ -260,7 +281,7 @@
 	a.observe(load, now)
 	a.x.server.with(a.x.match.Entry.Name, func(t turn.Turn, l *lane) {
 		l.picker.Answered(t, a.sidecar.Address, told(load), now.Sub(a.sent))
-		l.survey.Observe(t.Now, a.sidecar.Address, served, failed)
+		l.survey.Observe(t.Now, a.sidecar.Address, health.Relative(served, a.x.match.Target), failed)
 	})
 }
 
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"path"
 	"strings"
 	"time"
 
@@ -31,6 +30,9 @@
 
 	// againPause is the wait before the same sidecars are tried again.
 	againPause = 10 * time.Millisecond
+	// mostRefused is the most sidecars that are asked for one request, where a
+	// refusal costs no more than a message.
+	mostRefused = 16
 	// retrySoon is when a caller that was refused for load may come again.
 	retrySoon = time.Second
 )
@@ -43,6 +45,8 @@
 	arrived  time.Time
 	deadline time.Time
 	match    config.Match
+	// ask is what the caller says of the request.
+	ask Ask
 	// repeatable is the match's, unless the request says otherwise.
 	repeatable bool
 	body       *source
@@ -59,6 +63,8 @@
 	claim *keys.Claim
 	// last is why the last attempt failed.
 	last trouble
+	// fallback is what a backend server answered, where that is a failure.
+	fallback *answer
 	// served is the backend server's own time.
 	served time.Duration
 }
@@ -72,7 +78,7 @@
 	defer cancel()
 	x.body = newSource(x)
 	defer x.body.close()
-	if x.repeatable || x.request.Header.Get(KeyHeader) == "" || x.server.config.Keys == nil {
+	if x.repeatable || x.ask.Key == "" || x.server.config.Keys == nil {
 		x.run(ctx)
 		return
 	}
@@ -97,6 +103,9 @@
 			return
 		}
 		x.last = result.trouble
+		if result.fallback != nil {
+			x.fallback = result.fallback
+		}
 		x.moved = result.moved
 		step := x.after(result.outcome)
 		if step != retry.Again || !x.body.replay() {
@@ -164,6 +173,12 @@
 
 // end tells the caller the outcome.
 func (x *exchange) end(step retry.Step) {
+	if x.fallback != nil {
+		if err := x.fallback.finish(x.fallback.trailers); err == nil {
+			x.answered()
+		}
+		return
+	}
 	if step == retry.GiveUpUnknown {
 		x.unknown(x.last.step, x.last.peer, x.last.detail)
 		return
@@ -225,49 +240,68 @@
 		})
 		return false
 	}
-	match, found := table.Match(r.Host, r.Method, path.Clean("/"+r.URL.Path))
+	match, found := table.Match(r.Host, r.Method, targetPath(r), x.server.config.Random.Float64())
 	if !found {
 		x.notRun(trouble{status: http.StatusNotFound, step: "route", detail: fmt.Sprintf("no service for host %q", r.Host)})
 		return false
 	}
 	x.match = match
-	x.repeatable = match.Repeatable && !strings.EqualFold(r.Header.Get(RepeatableHeader), "false")
-	if r.ContentLength > match.Entry.MaxRequestBytes {
+	if !x.acceptAsk() {
+		return false
+	}
+	if r.ContentLength > match.MaxBodyBytes {
 		x.notRun(trouble{
 			status: http.StatusRequestEntityTooLarge, step: "accept",
-			detail: fmt.Sprintf("the body has more than %d bytes", match.Entry.MaxRequestBytes),
+			detail: fmt.Sprintf("the body has more than %d bytes", match.MaxBodyBytes),
 		})
 		return false
 	}
-	return x.acceptDeadline() && x.acceptLimit()
+	x.plans()
+	return x.acceptLimit()
+}
+
+// targetPath is the path as it stands in the request line.
+func targetPath(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		target, _, _ := strings.Cut(r.RequestURI, "?")
+		return target
+	}
+	return r.URL.EscapedPath()
 }
 
-func (x *exchange) acceptDeadline() bool {
+// acceptAsk reads what the caller says of its request.
+func (x *exchange) acceptAsk() bool {
+	ask, err := x.server.config.Dialect.Read(x.request.Header)
+	if err != nil {
+		x.notRun(trouble{status: http.StatusBadRequest, step: "accept", detail: err.Error()})
+		return false
+	}
+	x.ask = ask
+	x.repeatable = x.match.Repeatable && !ask.Once
 	timeout := x.match.Deadline
-	if text := x.request.Header.Get(TimeoutHeader); text != "" {
-		asked, err := time.ParseDuration(text)
-		if err != nil || asked <= 0 {
-			x.notRun(trouble{
-				status: http.StatusBadRequest, step: "accept",
-				detail: fmt.Sprintf("%s: %q is not a positive duration such as 1500ms", TimeoutHeader, text),
-			})
-			return false
-		}
-		timeout = min(timeout, asked)
+	if ask.Timeout > 0 {
+		timeout = min(timeout, ask.Timeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
 	x.headers = x.forwarded()
+	return true
+}
+
+// plans prepares the attempts.
+func (x *exchange) plans() {
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
 		l.used = t.Now
 		l.budget.Earn(x.match.Entry.Retry.BudgetPercent)
 		x.plan = retry.Plan{
 			Repeatable: x.repeatable,
-			Most:       x.match.Entry.Retry.Attempts,
+			Most:       x.match.Attempts,
 			Deadline:   x.deadline,
 			Budget:     &l.budget,
 		}
+		if x.server.config.DirectTries > 0 {
+			x.plan.MostRefused = mostRefused
+		}
 	})
-	return true
 }
 
 func (x *exchange) acceptLimit() bool {
@@ -314,11 +348,10 @@
 	list := wire.FromHeader(h)
 	kept := list[:0]
 	for _, field := range list {
-		switch field.Name {
-		case "Expect", TimeoutHeader, RepeatableHeader, "X-Forwarded-For":
-		default:
-			kept = append(kept, field)
+		if field.Name == "Expect" || field.Name == "X-Forwarded-For" || !x.server.config.Dialect.Keeps(field.Name) {
+			continue
 		}
+		kept = append(kept, field)
 	}
 	if h.Get("Te") == "trailers" {
 		kept = append(kept, &wire.Header{Name: "Te", Value: "trailers"})
--- a/internal/proxy/front/fence.go
+++ b/internal/proxy/front/fence.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// fenceTimeout bounds one question for an attempt's fate, beyond the time
+	// fenceSlack bounds one question for an attempt's fate, beyond the time
 	// that a running attempt may still take.
-	fenceTimeout = 1500 * time.Millisecond
+	fenceSlack = 200 * time.Millisecond
 	// fenceRelays is how many relays are tried after the direct way.
 	fenceRelays = 2
 )
@@ -59,7 +59,7 @@
 
 func (a *attempt) fence(ctx context.Context, relay string) (*wire.FenceReply, error) {
 	wait := max(0, a.x.deadline.Sub(a.x.now()))
-	ctx, cancel := context.WithTimeout(ctx, wait+fenceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+fenceSlack)
 	defer cancel()
 	stream, err := a.way(ctx, relay)
 	if err != nil {
@@ -79,7 +79,7 @@
 
 // way opens a stream to the sidecar, directly or by a relay.
 func (a *attempt) way(ctx context.Context, relay string) (*link.Stream, error) {
-	opening, done := context.WithTimeout(ctx, openTimeout)
+	opening, done := context.WithTimeout(ctx, a.x.server.config.Path.Open)
 	defer done()
 	if relay == "" {
 		return a.open(opening)
--- a/internal/proxy/front/problem.go
+++ b/internal/proxy/front/problem.go
@@ -85,12 +85,8 @@
 	h := x.writer.Header()
 	clear(h)
 	h.Set("Content-Type", problemType)
-	h.Set(OutcomeHeader, outcome)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	if t.again > 0 {
-		seconds := int((t.again + time.Second - 1) / time.Second)
-		h.Set("Retry-After", strconv.Itoa(seconds))
-	}
+	x.server.config.Dialect.Problem(h, x.ask, outcome, t.again)
 	x.writer.WriteHeader(t.status)
 	_, _ = x.writer.Write(body)
 }
--- a/internal/proxy/front/server.go
+++ b/internal/proxy/front/server.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -57,10 +58,31 @@
 		Finder Finder
 		// Relays is asked for ways around a path that fails.
 		Relays Relays
+		// Dialect is how callers speak; nil is Plain.
+		Dialect Dialect
+		// Origin is the service on whose VM this ingress runs; empty is none.
+		Origin ident.Service
+		// Path is how soon a silent path is given up; its zero fields are the
+		// package's.
+		Path Path
+		// DirectTries is how many sidecars are asked for a free slot before one
+		// is asked to let the request wait.
+		DirectTries int
 		// Keys keeps the records of idempotency keys; nil keeps none.
 		Keys Keys
 	}
 
+	// Path is how soon a path to a sidecar is given up.
+	Path struct {
+		// Open bounds the opening of a stream, a dial included.
+		Open time.Duration
+		// Patience is how long an attempt may be silent before its path is
+		// tried.
+		Patience time.Duration
+		// Ping bounds the sign of life that a silent path must give.
+		Ping time.Duration
+	}
+
 	// Server is one node's ingress.
 	Server struct {
 		config   Config
@@ -70,6 +92,8 @@
 		lanes    map[ident.Service]*lane
 		limits   limit.Local
 		finding  singleflight.Group
+		// saved bounds the retries saved up for one service here.
+		saved float64
 	}
 
 	// lane is one service as this ingress sees it.
@@ -86,6 +110,12 @@
 
 // NewServer returns a Server without a configuration.
 func NewServer(config Config) *Server {
+	if config.Dialect == nil {
+		config.Dialect = Plain{}
+	}
+	config.Path.Open = cmp.Or(config.Path.Open, openTimeout)
+	config.Path.Patience = cmp.Or(config.Path.Patience, patience)
+	config.Path.Ping = cmp.Or(config.Path.Ping, pingTimeout)
 	return &Server{config: config, lanes: map[ident.Service]*lane{}}
 }
 
@@ -163,6 +193,23 @@
 	return used
 }
 
+// Known returns the services that this ingress has been told of or asked for.
+func (s *Server) Known() []ident.Service {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return sortedNames(s.lanes)
+}
+
+// SetSaved bounds the retries that are saved up for each service.
+func (s *Server) SetSaved(most float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.saved = most
+	for _, l := range s.lanes {
+		l.budget.Most = most
+	}
+}
+
 // Limits runs a function on the limits of this ingress.
 func (s *Server) Limits(f func(now time.Time, l *limit.Local)) {
 	s.mutex.Lock()
@@ -180,7 +227,7 @@
 func (s *Server) lane(name ident.Service) *lane {
 	l, found := s.lanes[name]
 	if !found {
-		l = &lane{picker: route.Picker{Zone: s.config.Zone}}
+		l = &lane{picker: route.Picker{Zone: s.config.Zone}, budget: retry.Budget{Most: s.saved}}
 		s.lanes[name] = l
 	}
 	return l
--- a/internal/proxy/front/source.go
+++ b/internal/proxy/front/source.go
@@ -44,7 +44,7 @@
 		s.ended = true
 		return s
 	}
-	s.body = http.MaxBytesReader(x.writer, r.Body, x.match.Entry.MaxRequestBytes)
+	s.body = http.MaxBytesReader(x.writer, r.Body, x.match.MaxBodyBytes)
 	return s
 }
 
--- a/internal/proxy/node/admin.go
+++ b/internal/proxy/node/admin.go
@@ -67,6 +67,25 @@
 	return app
 }
 
+// ReadOnlyAdmin serves what operators may see, and changes nothing.
+func (n *Node) ReadOnlyAdmin() http.Handler {
+	mux := http.NewServeMux()
+	show := func(path string, value func(ctx context.Context) any) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+			ctx, done := context.WithTimeout(r.Context(), statusLimit)
+			defer done()
+			reply(w, http.StatusOK, value(ctx))
+		})
+	}
+	show("/v1/ready", func(context.Context) any { return n.Ready() })
+	show("/v1/status", func(ctx context.Context) any { return n.Status(ctx) })
+	show("/v1/dump", func(context.Context) any { return n.Dump() })
+	if n.config.Metrics != nil {
+		mux.Handle("GET /v1/metrics", n.config.Metrics)
+	}
+	return mux
+}
+
 // authorize lets only those in who bear the token, where there is one.
 func (n *Node) authorize(c iris.Context) {
 	token := n.config.AdminToken
--- a/internal/proxy/node/backends.go
+++ b/internal/proxy/node/backends.go
@@ -89,6 +89,29 @@
 	})
 }
 
+// Announce takes a checked announcement and tells whether the file in force lets
+// the server serve.
+func (n *Node) Announce(a roster.Announcement) (allowed bool, err error) {
+	if a.Zone == "" {
+		a.Zone = n.config.Zone
+	}
+	allowed, err = n.announce(a)
+	n.tellServing()
+	return allowed, err
+}
+
+// Depart forgets a backend server for good.
+func (n *Node) Depart(id ident.Backend) {
+	known := false
+	n.side.Do(func(t turn.Turn, d *desk.Desk) desk.Ops {
+		var ops desk.Ops
+		ops, known = d.Depart(t, id)
+		return ops
+	})
+	n.tellServing()
+	events.Emit(n.log, events.BackendGone, "backend-server", string(id), "known", known)
+}
+
 func (n *Node) announce(a roster.Announcement) (allowed bool, err error) {
 	known := false
 	n.side.Do(func(t turn.Turn, d *desk.Desk) desk.Ops {
--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/policy/route"
 	"github.com/figwick/figwick/internal/state/member"
 )
 
@@ -22,6 +23,8 @@
 	group *member.Group
 	// news wakes those who wait for a newer configuration.
 	news chan struct{}
+	// shown is the state of the group that the ingress was last told of.
+	shown uint64
 }
 
 func newFleet(n *Node) *fleet {
@@ -50,6 +53,7 @@
 	f.mutex.Lock()
 	exchanges := event(f.node.turn())
 	changes := f.group.Changes()
+	f.show()
 	f.mutex.Unlock()
 	f.report(changes)
 	for _, e := range exchanges {
@@ -57,6 +61,60 @@
 	}
 }
 
+// show tells the ingress which sidecars there are, where that is news. The mutex
+// is held.
+func (f *fleet) show() {
+	if !f.node.config.Listed || f.group.Sequence() == f.shown {
+		return
+	}
+	f.shown = f.group.Sequence()
+	byService := map[ident.Service][]route.Sidecar{}
+	for _, name := range f.node.front.Known() {
+		byService[name] = nil
+	}
+	for _, r := range f.group.Live() {
+		if r.Service == "" || r.Slots == 0 {
+			continue
+		}
+		byService[r.Service] = append(byService[r.Service], route.Sidecar{
+			Address: r.Address, Node: r.ID, Zone: r.Zone, Slots: r.Slots, Leaving: r.Leaving,
+		})
+	}
+	for name, sidecars := range byService {
+		f.node.front.SetSidecars(name, sidecars)
+	}
+}
+
+// serve tells the neighbours what the backend server beside this node serves,
+// where that is news.
+func (f *fleet) serve(service ident.Service, slots int) {
+	f.mutex.Lock()
+	same := !f.group.Serve(f.node.turn(), service, slots)
+	f.mutex.Unlock()
+	if !same {
+		f.send(context.Background(), f.group.Hurry)
+	}
+}
+
+// Find returns nothing: the ingress is told of every sidecar.
+func (f *fleet) Find(context.Context, ident.Service) []route.Sidecar {
+	return nil
+}
+
+// introduce takes records that other nodes have put into the store.
+func (f *fleet) introduce(records []member.Record) {
+	f.mutex.Lock()
+	f.group.Introduce(f.node.config.Clock.Now(), records)
+	f.show()
+	f.after()
+}
+
+func (f *fleet) self() member.Record {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.group.Self()
+}
+
 func (f *fleet) exchange(ctx context.Context, e member.Exchange) {
 	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
 	defer done()
@@ -80,6 +138,7 @@
 // after reports what an event changed and releases the mutex.
 func (f *fleet) after() {
 	changes := f.group.Changes()
+	f.show()
 	newer := f.group.Newest().Revision > f.group.InForce()
 	f.mutex.Unlock()
 	f.report(changes)
@@ -225,6 +284,8 @@
 		Beat:        r.Beat,
 		Leaving:     r.Leaving,
 		Gone:        r.Gone,
+		Service:     string(r.Service),
+		Slots:       uint32(r.Slots),
 	}
 	for _, id := range r.Accusers {
 		w.Accusers = append(w.Accusers, string(id))
@@ -256,6 +317,8 @@
 		Beat:        w.Beat,
 		Leaving:     w.Leaving,
 		Gone:        w.Gone,
+		Service:     ident.Service(w.Service),
+		Slots:       int(w.Slots),
 	}
 	for _, id := range w.Accusers {
 		r.Accusers = append(r.Accusers, ident.Node(id))
--- a/internal/proxy/node/handle.go
+++ b/internal/proxy/node/handle.go
@@ -49,6 +49,9 @@
 		})
 	case wire.KindConfigFetch:
 		return serve(first, first.Kind, func(m *wire.ConfigFetch) error {
+			if n.config.Source != nil {
+				return n.answer(conn, wire.KindConfigReply, n.sourced.receive())
+			}
 			return n.answer(conn, wire.KindConfigReply, n.configs.receive(m))
 		})
 	case wire.KindDemands:
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/policy/desk"
 )
@@ -25,13 +26,22 @@
 func (n *Node) loops(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return n.every(ctx, deskBeat, n.deskTick) })
 	group.Go(func() error { return n.every(ctx, fleetBeat, n.fleet.tick) })
-	group.Go(func() error { return n.every(ctx, putBeat, n.directory.tick) })
 	group.Go(func() error { return n.every(ctx, slowBeat, n.slowTick) })
+	if n.config.Source != nil {
+		group.Go(func() error { return n.sourced.watch(ctx) })
+		group.Go(func() error { return n.sourced.follow(ctx) })
+	} else {
+		group.Go(func() error { return n.configs.watch(ctx) })
+		group.Go(func() error { return n.configs.follow(ctx) })
+	}
+	if n.config.Listed {
+		group.Go(func() error { return n.entry.keep(ctx) })
+		return
+	}
+	group.Go(func() error { return n.every(ctx, putBeat, n.directory.tick) })
 	group.Go(func() error { return n.every(ctx, slowBeat, n.books.tick) })
 	group.Go(func() error { return n.every(ctx, slowBeat, n.homes.tick) })
 	group.Go(func() error { return n.every(ctx, slowBeat, n.configs.seed) })
-	group.Go(func() error { return n.configs.watch(ctx) })
-	group.Go(func() error { return n.configs.follow(ctx) })
 }
 
 // every calls a function at a beat until the context ends.
@@ -50,6 +60,18 @@
 
 func (n *Node) deskTick(context.Context) {
 	n.side.Do(func(t turn.Turn, d *desk.Desk) desk.Ops { return d.Tick(t) })
+	n.tellServing()
+}
+
+// tellServing brings the node's own record in step with what it serves.
+func (n *Node) tellServing() {
+	if !n.config.Listed {
+		return
+	}
+	var service ident.Service
+	slots := 0
+	n.side.Look(func(_ turn.Turn, d *desk.Desk) { service, slots = d.Serving() })
+	n.fleet.serve(service, slots)
 }
 
 func (n *Node) slowTick(context.Context) {
@@ -63,7 +85,11 @@
 	})
 	n.meter.Held.Update(float64(held))
 	n.meter.Queued.Update(float64(queued))
-	n.meter.Members.Update(float64(len(n.fleet.live())))
+	live := len(n.fleet.live())
+	n.meter.Members.Update(float64(live))
+	if n.config.RetryBase > 0 {
+		n.front.SetSaved(n.config.RetryBase / float64(max(live, 1)))
+	}
 }
 
 // stop hands over, drains and leaves. It returns when nothing is in flight, or
@@ -74,17 +100,25 @@
 	defer done()
 	n.state.Store(phaseHandingOver)
 	n.fleet.leave(ctx, false)
-	n.callers.SetKeepAlivesEnabled(false)
-	n.handOver(ctx)
+	if n.config.Listed {
+		n.linger(ctx)
+	} else {
+		n.callers.SetKeepAlivesEnabled(false)
+		n.handOver(ctx)
+	}
 	n.state.Store(phaseDraining)
 	n.side.Do(func(_ turn.Turn, d *desk.Desk) desk.Ops {
 		d.Drain()
 		return desk.Ops{}
 	})
-	n.directory.tick(ctx)
+	if !n.config.Listed {
+		n.directory.tick(ctx)
+	}
 	_ = n.callers.Shutdown(ctx)
 	cut := !n.until(ctx, n.quiet)
-	n.books.settle(ctx)
+	if !n.config.Listed {
+		n.books.settle(ctx)
+	}
 	n.fleet.leave(ctx, true)
 	if cut {
 		n.reportCut()
@@ -93,6 +127,20 @@
 	events.Emit(n.log, events.NodeStopped, "node", string(n.config.ID))
 }
 
+// linger goes on taking callers' requests until callers have heard that the node
+// is not ready. The backend server beside it gets nothing new.
+func (n *Node) linger(ctx context.Context) {
+	n.side.Do(func(_ turn.Turn, d *desk.Desk) desk.Ops {
+		d.Drain()
+		return desk.Ops{}
+	})
+	select {
+	case <-n.config.Clock.After(n.config.Linger):
+	case <-ctx.Done():
+	}
+	n.callers.SetKeepAlivesEnabled(false)
+}
+
 // handOver waits until the backend servers have announced themselves to other
 // nodes. They hear that they should with their next renewal.
 func (n *Node) handOver(ctx context.Context) {
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,7 @@
 	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/peer/link"
 	"github.com/figwick/figwick/internal/policy/desk"
+	"github.com/figwick/figwick/internal/policy/health"
 	"github.com/figwick/figwick/internal/proxy/front"
 	"github.com/figwick/figwick/internal/proxy/side"
 	"github.com/figwick/figwick/internal/state/config"
@@ -42,9 +44,29 @@
 		List(ctx context.Context, prefix string) ([]store.Item, error)
 		Watch(ctx context.Context, key string, wait store.Wait) (store.Item, error)
 		Grant(ctx context.Context, ttl time.Duration) (store.Lease, error)
+		KeepAlive(ctx context.Context, lease store.Lease) error
 	}
 
-	// Listeners are the sockets of a node.
+	// Source reads configurations that somebody else than this fleet's operators
+	// writes to the store.
+	Source interface {
+		// Key is where the newest one stands.
+		Key() string
+		// Revision returns the revision of a configuration's text.
+		Revision(text []byte) (ident.Revision, error)
+		// Compile makes a configuration's text ready for requests.
+		Compile(text []byte) (*config.Table, error)
+	}
+
+	// Door is a listener besides the usual ones, and what serves it.
+	Door struct {
+		Name     string
+		Listener net.Listener
+		Handler  func(n *Node) http.Handler
+	}
+
+	// Listeners are the sockets of a node. Backends and Admin may be left out
+	// where Doors take their place.
 	Listeners struct {
 		// Callers takes HTTP requests.
 		Callers net.Listener
@@ -78,6 +100,29 @@
 		Version string
 		// Dialer replaces the dialling of other nodes, in tests.
 		Dialer link.Dialer
+
+		// Doors are served besides the Listeners.
+		Doors []Door
+		// Source brings the configuration; nil is the fleet's own operators.
+		Source Source
+		// Listed tells that the node keeps an entry in the store under a lease
+		// and finds others by theirs, and that one backend server stands beside
+		// each node. There are no directory, floor tokens and limit homes then.
+		Listed bool
+		// RetryBase is the second sends that the fleet may save up for each
+		// service, shared out by the nodes that live; zero is no such bound.
+		RetryBase float64
+		// Linger is how long a stopping node goes on taking callers' requests.
+		Linger time.Duration
+		// Origin is the service on whose VM the node runs.
+		Origin ident.Service
+		// CallerSpeech and ServerSpeech are how callers and backend servers
+		// speak; nil is the project's own way.
+		CallerSpeech front.Dialect
+		ServerSpeech side.Dialect
+		// DirectTries and Path are the ingress's.
+		DirectTries int
+		Path        front.Path
 	}
 
 	// Node is one figwick process.
@@ -95,6 +140,8 @@
 		configs   *configs
 		books     *books
 		homes     *homes
+		sourced   *sourced
+		entry     *entry
 		callers   *http.Server
 		relayed   atomic.Int64
 		// busyAt is when work was last seen, in nanoseconds.
@@ -141,9 +188,10 @@
 		Random:   c.Random,
 		Log:      c.Log,
 		Meter:    n.meter,
-		Desk:     desk.New(c.ID, n.instance),
+		Desk:     n.newDesk(),
 		Instance: n.instance,
 		Started:  n.started,
+		Dialect:  c.ServerSpeech,
 	})
 	watched := &countedStore{Store: c.Store, meter: n.meter, log: c.Log}
 	n.directory = &directory{node: n}
@@ -155,10 +203,17 @@
 		Meter:  n.meter,
 		Links:  n.links,
 		Zone:   c.Zone,
-		Finder: n.directory,
+		Finder: n.finder(),
 		Relays: n.fleet,
 		Keys:   keys.NewBook(keys.Config{Store: watched, Clock: c.Clock}),
+
+		Dialect:     c.CallerSpeech,
+		Origin:      c.Origin,
+		Path:        c.Path,
+		DirectTries: c.DirectTries,
 	})
+	n.sourced = &sourced{node: n, store: watched}
+	n.entry = &entry{node: n, store: watched}
 	n.configs = &configs{node: n, store: watched}
 	n.books = &books{node: n, store: watched}
 	n.homes = newHomes(n)
@@ -173,7 +228,9 @@
 		return errors.New("node: availability zone is empty")
 	case c.Address == "":
 		return errors.New("node: peer address is empty")
-	case c.Listeners.Callers == nil, c.Listeners.Peers == nil, c.Listeners.Backends == nil, c.Listeners.Admin == nil:
+	case c.Listeners.Callers == nil, c.Listeners.Peers == nil:
+		return errors.New("node: a listener is missing")
+	case len(c.Doors) == 0 && (c.Listeners.Backends == nil || c.Listeners.Admin == nil):
 		return errors.New("node: a listener is missing")
 	case c.Store == nil:
 		return errors.New("node: store is missing")
@@ -191,9 +248,7 @@
 	events.Emit(n.log, events.NodeStarted,
 		"node", string(n.config.ID), "zone", string(n.config.Zone),
 		"callers", n.config.Listeners.Callers.Addr().String(),
-		"peers", n.config.Address,
-		"backend-servers", n.config.Listeners.Backends.Addr().String(),
-		"admin", n.config.Listeners.Admin.Addr().String())
+		"peers", n.config.Address, "version", n.config.Version)
 	select {
 	case <-ctx.Done():
 	case <-n.stopping:
@@ -258,9 +313,37 @@
 	}
 	l := n.config.Listeners
 	group.Go(func() error { return n.listen(ctx, n.callers, l.Callers) })
-	group.Go(func() error { return n.listen(ctx, n.internal(n.backendHandler(), "backends"), l.Backends) })
-	group.Go(func() error { return n.listen(ctx, n.internal(n.adminHandler(), "admin"), l.Admin) })
 	group.Go(func() error { return n.links.Serve(ctx, l.Peers) })
+	doors := n.config.Doors
+	if l.Backends != nil {
+		doors = append(doors, Door{Name: "backends", Listener: l.Backends, Handler: (*Node).backendHandler})
+	}
+	if l.Admin != nil {
+		doors = append(doors, Door{Name: "admin", Listener: l.Admin, Handler: (*Node).adminHandler})
+	}
+	for _, d := range doors {
+		group.Go(func() error { return n.listen(ctx, n.internal(d.Handler(n), d.Name), d.Listener) })
+	}
+}
+
+func (n *Node) newDesk() *desk.Desk {
+	d := desk.New(n.config.ID, n.instance)
+	if n.config.Listed {
+		d.Believe(lonePrior)
+	}
+	return d
+}
+
+// lonePrior is how a backend server does whose peers are not known: latencies
+// relative to their target, as the deployments' work and targets stand to each
+// other, and few failures.
+var lonePrior = health.Level{Mean: math.Log(0.3), Spread: 0.6, Failure: 0.02, Weight: 1}
+
+func (n *Node) finder() front.Finder {
+	if n.config.Listed {
+		return n.fleet
+	}
+	return n.directory
 }
 
 func (n *Node) internal(h http.Handler, name string) *http.Server {
--- a/internal/proxy/node/seeds.go
+++ b/internal/proxy/node/seeds.go
@@ -100,6 +100,10 @@
 	return lease, s.note(ctx, err)
 }
 
+func (s *countedStore) KeepAlive(ctx context.Context, lease store.Lease) error {
+	return s.note(ctx, s.Store.KeepAlive(ctx, lease))
+}
+
 func (s *countedStore) note(ctx context.Context, err error) error {
 	s.meter.StoreCalls.Inc(1)
 	if !errors.Is(err, store.ErrUnavailable) || ctx.Err() != nil {
--- /dev/null
+++ b/internal/proxy/node/sourced.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/state/store"
+)
+
+const (
+	// sourcedWait is the longest wait of one watch; its connection's keep-alive
+	// tells a silent one sooner.
+	sourcedWait = 25 * time.Second
+	// sourcedPause is the wait after a watch that failed.
+	sourcedPause = 500 * time.Millisecond
+	// sourcedRest is the wait after news, so that configurations in quick
+	// succession cost few calls; the deployments allow two seconds.
+	sourcedRest = 250 * time.Millisecond
+)
+
+// sourced keeps the node at the newest configuration of its Source, from the
+// store or from peers that have it.
+type sourced struct {
+	node  *Node
+	store *countedStore
+	mutex sync.Mutex
+	text  []byte
+}
+
+// watch follows the store.
+func (s *sourced) watch(ctx context.Context) error {
+	version := store.Version(0)
+	for ctx.Err() == nil {
+		item, err := s.next(ctx, version)
+		switch {
+		case err == nil:
+			version = item.Version
+			s.offer(item.Value, "store")
+			s.pause(ctx, sourcedRest)
+		case errors.Is(err, store.ErrUnchanged):
+		default:
+			s.pause(ctx, sourcedPause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *sourced) next(ctx context.Context, version store.Version) (store.Item, error) {
+	key := s.node.config.Source.Key()
+	if version == 0 {
+		item, err := s.store.Get(ctx, key)
+		if err == nil || !errors.Is(err, store.ErrNotFound) {
+			return item, err
+		}
+	}
+	return s.store.Watch(ctx, key, store.Wait{After: version, For: sourcedWait})
+}
+
+func (s *sourced) pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-s.node.config.Clock.After(wait):
+	case <-ctx.Done():
+	}
+}
+
+// follow fetches what a peer has and the store has not brought yet.
+func (s *sourced) follow(ctx context.Context) error {
+	for {
+		select {
+		case <-s.node.fleet.news:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		// The store is the usual way; a peer's word is for those it does not reach.
+		s.pause(ctx, sourcedRest)
+		newest := s.node.fleet.newest()
+		if newest.Address == "" || newest.Revision <= s.node.revision() {
+			continue
+		}
+		s.fetch(ctx, newest.Address)
+	}
+}
+
+func (s *sourced) fetch(ctx context.Context, address string) {
+	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
+	defer done()
+	reply, err := ask[wire.ConfigReply](ctx, s.node, address, wire.KindConfigFetch, &wire.ConfigFetch{}, wire.KindConfigReply)
+	if err != nil || len(reply.Head) == 0 {
+		return
+	}
+	s.offer(reply.Head, address)
+}
+
+// offer puts a configuration in force where it is newer than the present one.
+func (s *sourced) offer(text []byte, source string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	log := s.node.log
+	revision, err := s.node.config.Source.Revision(text)
+	if err != nil {
+		events.Emit(log, events.ConfigBroken, "source", source, "error", err)
+		return
+	}
+	if present := s.node.revision(); revision <= present {
+		if revision < present {
+			events.Emit(log, events.ConfigOld, "source", source, "offered", uint64(revision), "in-force", uint64(present))
+		}
+		return
+	}
+	table, err := s.node.config.Source.Compile(text)
+	if err != nil {
+		events.Emit(log, events.ConfigBroken, "source", source, "revision", uint64(revision), "error", err)
+		return
+	}
+	s.text = text
+	s.node.configure(table)
+}
+
+// receive serves a peer that fetches the configuration in force here.
+func (s *sourced) receive() *wire.ConfigReply {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return &wire.ConfigReply{Revision: uint64(s.node.revision()), Head: s.text}
+}
--- a/internal/proxy/node/status.go
+++ b/internal/proxy/node/status.go
@@ -99,7 +99,7 @@
 
 // Ready tells whether the node takes callers' requests.
 func (n *Node) Ready() Ready {
-	r := Ready{Revision: n.configs.revision(), Store: "answering", State: Serving}
+	r := Ready{Revision: n.revision(), Store: "answering", State: Serving}
 	if n.configs.store.away.Load() {
 		r.Store = "away"
 	}
@@ -114,6 +114,14 @@
 	return r
 }
 
+// revision returns the configuration in force; zero is none.
+func (n *Node) revision() ident.Revision {
+	if table := n.front.Table(); table != nil {
+		return table.Revision
+	}
+	return 0
+}
+
 // Status asks the fleet.
 func (n *Node) Status(ctx context.Context) Status {
 	s := Status{
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -30,8 +30,8 @@
 	retryAfter    = "Retry-After"
 )
 
-// errUnframed marks an answer whose end cannot be told from a lost connection.
-var errUnframed = errors.New("side: answer has neither length nor chunks")
+// errUnproven marks an answer that may not be the backend server's own.
+var errUnproven = errors.New("side: answer bears no proof of its backend server")
 
 // kept is an answer that a fence can still fetch.
 type kept struct {
@@ -43,17 +43,16 @@
 
 // answer streams a response to the ingress.
 func (a *attempt) answer(ctx context.Context, r *http.Response) {
-	if unframed(r) {
-		a.finish(health.Failed, nil)
-		a.fail("answer", errUnframed)
-		return
-	}
-	if shed(r) {
+	switch reading := a.server.config.Dialect.Read(r); reading {
+	case NotRun, Absent:
 		a.server.Do(func(t turn.Turn, d *desk.Desk) desk.Ops { return d.Shed(t, a.id) })
-		a.refuse(wire.Reason_REASON_BUSY, "shed by the backend server")
+		a.refuse(&wire.Refusal{Reason: reading.reasonOf(), Detail: "refused by the backend server", Arrived: true})
+		return
+	case Unproven:
+		a.finish(health.Failed, nil)
+		a.fail("answer", errUnproven)
 		return
 	}
-	delete(r.Header, outcomeHeader)
 	head := &wire.ResponseHead{
 		Status:        int32(r.StatusCode),
 		Headers:       wire.FromHeader(r.Header),
@@ -90,12 +89,6 @@
 	}
 }
 
-// shed tells whether a backend server refused the request for load and vouches
-// that it did not run it.
-func shed(r *http.Response) bool {
-	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(outcomeHeader) == outcomeNotRun
-}
-
 // judge tells what a whole answer says of its backend server.
 func judge(r *http.Response) health.Outcome {
 	switch {
@@ -110,13 +103,6 @@
 	}
 }
 
-// unframed tells whether the body would end where the connection does.
-func unframed(r *http.Response) bool {
-	bodiless := r.Request.Method == http.MethodHead || r.StatusCode == http.StatusNoContent ||
-		r.StatusCode == http.StatusNotModified
-	return !bodiless && r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
-
 // copyBody passes the body on as it comes. The stall timer runs only while the
 // backend server is waited for, not while the caller is.
 func (a *attempt) copyBody(r *http.Response, k *kept) error {
@@ -173,9 +159,10 @@
 	return err
 }
 
-func (a *attempt) refuse(reason wire.Reason, detail string) {
+func (a *attempt) refuse(refusal *wire.Refusal) {
 	a.server.config.Meter.Refused.Inc(1)
-	a.pass(wire.KindRefusal, &wire.Refusal{Reason: reason, Detail: detail, Load: a.load()})
+	refusal.Load = a.load()
+	a.pass(wire.KindRefusal, refusal)
 }
 
 func (a *attempt) fail(step string, err error) {
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 	"net/url"
 	"strings"
 	"sync"
@@ -21,6 +19,7 @@
 	"github.com/figwick/figwick/internal/policy/desk"
 	"github.com/figwick/figwick/internal/policy/fence"
 	"github.com/figwick/figwick/internal/policy/health"
+	"github.com/figwick/figwick/internal/proxy/back"
 )
 
 // mostTimeout bounds the time left that an attempt may claim.
@@ -54,9 +53,8 @@
 	timer    clockwork.Timer
 	cancel   context.CancelCauseFunc
 	// gone tells that the ingress no longer listens.
-	gone  atomic.Bool
-	wrote tally
-	took  time.Duration
+	gone atomic.Bool
+	took time.Duration
 }
 
 // Attempt serves one attempt on a stream whose RequestHead was received.
@@ -72,7 +70,7 @@
 		deadline: now.Add(left),
 	}
 	if reason, detail := s.check(head); reason != 0 {
-		a.refuse(reason, detail)
+		a.refuse(&wire.Refusal{Reason: reason, Detail: detail})
 		return
 	}
 	ctx, a.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
@@ -138,6 +136,9 @@
 		HasBody:     a.head.ContentLength != 0,
 		StartBefore: s.moment(a.head.Stamp),
 		Deadline:    a.deadline,
+		Target:      time.Duration(a.head.TargetMs) * time.Millisecond,
+		Priority:    int(a.head.Priority),
+		Direct:      a.head.Direct,
 	})
 	var ready chan verdict
 	if decision.Kind == desk.Waiting {
@@ -149,13 +150,15 @@
 	case desk.Granted:
 		return verdict{granted: true, server: decision.Server.Address, id: decision.Server.ID}, true
 	case desk.Refused:
-		a.refuse(reasons[decision.Reason], decision.Reason.String())
+		a.refuse(&wire.Refusal{
+			Reason: reasons[decision.Reason], Detail: decision.Reason.String(), PauseMs: decision.Pause.Milliseconds(),
+		})
 		return verdict{}, false
 	}
 	select {
 	case v := <-ready:
 		if !v.granted {
-			a.refuse(reasons[v.reason], v.reason.String())
+			a.refuse(&wire.Refusal{Reason: reasons[v.reason], Detail: v.reason.String()})
 		}
 		return v, v.granted
 	case <-ctx.Done():
@@ -179,7 +182,7 @@
 	if !a.body.whole() {
 		_ = a.send(wire.KindStarted, &wire.Started{BackendServer: string(v.id)})
 	}
-	response, err := a.server.transportFor(a.head.Repeatable).RoundTrip(a.request(ctx, v))
+	response, err := a.server.pool.Do(ctx, v.server, a.request(ctx, v), back.Options{Early: a.informational})
 	a.took = a.server.config.Clock.Since(time.Unix(0, a.began.Load()))
 	if err != nil {
 		a.broke(ctx, err)
@@ -199,10 +202,10 @@
 
 // broke ends an attempt that has no answer.
 func (a *attempt) broke(ctx context.Context, err error) {
-	if !a.wrote.any() {
+	if errors.Is(err, back.ErrUnsent) {
 		r := health.Result{Outcome: a.verdict(outcomeOf(ctx)), Took: a.took}
 		a.server.Do(func(t turn.Turn, d *desk.Desk) desk.Ops { return d.Unstarted(t, a.id, r) })
-		a.refuse(wire.Reason_REASON_CONNECT, "nothing reached the backend server")
+		a.refuse(&wire.Refusal{Reason: wire.Reason_REASON_CONNECT, Detail: "nothing reached the backend server"})
 		return
 	}
 	a.finish(outcomeOf(ctx), nil)
@@ -245,10 +248,6 @@
 
 // request is what the backend server gets.
 func (a *attempt) request(ctx context.Context, v verdict) *http.Request {
-	trace := &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { a.wrote.use(info.Conn) },
-		Got1xxResponse: a.informational,
-	}
 	r := &http.Request{
 		Method:        a.head.Method,
 		URL:           target(a.head.Target, v.server),
@@ -262,8 +261,13 @@
 	if _, set := r.Header["User-Agent"]; !set {
 		r.Header["User-Agent"] = []string{""}
 	}
-	hideKey(r.Header)
-	r.Body, r.ContentLength = a.requestBody()
+	a.server.config.Dialect.Ask(r.Header, Order{
+		Server: v.id, Left: a.deadline.Sub(a.server.config.Clock.Now()), Origin: ident.Service(a.head.Origin),
+	})
+	r.Body = http.NoBody
+	if r.ContentLength != 0 {
+		r.Body = a.body
+	}
 	if len(a.head.TrailerNames) > 0 {
 		r.Trailer = http.Header{}
 		for _, name := range a.head.TrailerNames {
@@ -271,33 +275,7 @@
 		}
 		r.Body = &trailing{intake: a.body, trailer: r.Trailer}
 	}
-	return r.WithContext(httptrace.WithClientTrace(ctx, trace))
-}
-
-// requestBody returns a body from which net/http does not conclude that it may
-// send the request again over another connection: a reused connection that
-// breaks looks to it like one on which an empty GET may be repeated.
-func (a *attempt) requestBody() (io.ReadCloser, int64) {
-	if a.head.ContentLength != 0 {
-		return a.body, a.head.ContentLength
-	}
-	bodiless := a.head.Method == http.MethodGet || a.head.Method == http.MethodHead ||
-		a.head.Method == http.MethodOptions
-	if bodiless && !a.head.Repeatable {
-		return io.NopCloser(strings.NewReader("")), 0
-	}
-	return http.NoBody, 0
-}
-
-// hideKey writes the idempotency key's name so that it reads the same on the
-// wire, but does not make net/http send the request again by itself.
-func hideKey(h http.Header) {
-	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
-		if values, set := h[name]; set {
-			delete(h, name)
-			h[strings.ToLower(name)] = values
-		}
-	}
+	return r.WithContext(ctx)
 }
 
 // target keeps the request's target byte for byte.
@@ -315,13 +293,13 @@
 	return u
 }
 
-func (a *attempt) informational(status int, header textproto.MIMEHeader) error {
+func (a *attempt) informational(status int, header http.Header) error {
 	if status == http.StatusContinue {
 		return nil
 	}
 	return a.send(wire.KindInformational, &wire.Informational{
 		Status:  int32(status),
-		Headers: wire.FromHeader(http.Header(header)),
+		Headers: wire.FromHeader(header),
 	})
 }
 
--- a/internal/proxy/side/server.go
+++ b/internal/proxy/side/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -16,17 +15,7 @@
 	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/policy/desk"
 	"github.com/figwick/figwick/internal/policy/health"
-)
-
-const (
-	connectTimeout  = time.Second
-	idleConnTimeout = 30 * time.Second
-	// onceIdleTimeout is the same for requests that must not repeat. A backend
-	// server that closes an idle connection just as it is reused leaves their
-	// outcome unknown; a new connection costs a millisecond.
-	onceIdleTimeout     = 500 * time.Millisecond
-	maxIdleConnsPerHost = 64
-	headerBytes         = 256 << 10
+	"github.com/figwick/figwick/internal/proxy/back"
 )
 
 type (
@@ -40,19 +29,20 @@
 		Instance ident.Instance
 		// Started is the origin of the readings in stamps.
 		Started time.Time
+		// Dialect is how backend servers speak; nil is Plain.
+		Dialect Dialect
 		// Dial replaces the dialling of backend servers, in tests.
 		Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	}
 
 	// Server is one node's sidecar.
 	Server struct {
-		config    Config
-		transport *http.Transport
-		once      *http.Transport
-		mutex     sync.Mutex
-		waiting   map[ident.Attempt]chan verdict
-		fated     map[ident.Attempt][]chan struct{}
-		running   map[ident.Attempt]string
+		config  Config
+		pool    *back.Pool
+		mutex   sync.Mutex
+		waiting map[ident.Attempt]chan verdict
+		fated   map[ident.Attempt][]chan struct{}
+		running map[ident.Attempt]string
 	}
 
 	// verdict ends the waiting of one attempt.
@@ -66,36 +56,16 @@
 
 // NewServer returns a Server without backend servers.
 func NewServer(config Config) *Server {
-	if config.Dial == nil {
-		config.Dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
+	if config.Dialect == nil {
+		config.Dialect = Plain{}
 	}
-	config.Dial = counting(config.Dial)
 	return &Server{
-		config:    config,
-		transport: transport(config, idleConnTimeout),
-		once:      transport(config, onceIdleTimeout),
-		waiting:   map[ident.Attempt]chan verdict{},
-		fated:     map[ident.Attempt][]chan struct{}{},
-		running:   map[ident.Attempt]string{},
-	}
-}
-
-func transport(config Config, idle time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:            config.Dial,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
-		IdleConnTimeout:        idle,
-		ExpectContinueTimeout:  time.Second,
-		MaxResponseHeaderBytes: headerBytes,
-	}
-}
-
-func (s *Server) transportFor(repeatable bool) *http.Transport {
-	if repeatable {
-		return s.transport
+		config:  config,
+		pool:    back.NewPool(back.Config{Clock: config.Clock, Dial: config.Dial, Ours: config.Dialect.Ours}),
+		waiting: map[ident.Attempt]chan verdict{},
+		fated:   map[ident.Attempt][]chan struct{}{},
+		running: map[ident.Attempt]string{},
 	}
-	return s.once
 }
 
 // Do passes one event to the Desk and carries out what follows.
@@ -131,8 +101,7 @@
 
 // Close ends the idle connections to backend servers.
 func (s *Server) Close() {
-	s.transport.CloseIdleConnections()
-	s.once.CloseIdleConnections()
+	s.pool.Close()
 }
 
 func (s *Server) turn() turn.Turn {
--- a/internal/state/accept/adopt.go
+++ b/internal/state/accept/adopt.go
@@ -119,6 +119,7 @@
 func (a *Adopter) table() *config.Table {
 	var entries []*config.Entry
 	limits := &bucketLimits{}
+	var shared config.Shared
 	seen := map[string]bool{}
 	for _, name := range names(a.head, a.groups) {
 		c := a.chunks[name]
@@ -126,9 +127,13 @@
 		if !seen[name] {
 			seen[name] = true
 			entries = append(entries, c.entries...)
+			shared.Hosts = append(shared.Hosts, c.hosts...)
+			if c.intake != nil {
+				shared.Intake = *c.intake
+			}
 		}
 	}
-	return config.Assemble(a.head.Revision, entries, limits)
+	return config.Assemble(a.head.Revision, entries, shared, limits)
 }
 
 // gather returns what the named texts hold, fetching and reading only those not
--- a/internal/state/accept/bucket.go
+++ b/internal/state/accept/bucket.go
@@ -18,6 +18,8 @@
 	chunk struct {
 		entries []*config.Entry
 		callers config.Callers
+		hosts   []config.Host
+		intake  *config.Intake
 		packed  []byte
 	}
 
@@ -41,6 +43,12 @@
 		if r.Caller != nil {
 			c.callers.Add(r.Of, *r.Caller)
 		}
+		if r.Host != nil {
+			c.hosts = append(c.hosts, *r.Host)
+		}
+		if r.Intake != nil {
+			c.intake = r.Intake
+		}
 	}
 	c.callers.Sort()
 	packed, err := pack(text)
--- a/internal/state/accept/chunk.go
+++ b/internal/state/accept/chunk.go
@@ -28,11 +28,14 @@
 )
 
 type (
-	// record is one service, or one caller's limit, in a chunk.
+	// record is one service, one caller's limit, one host or what all share, in
+	// a chunk.
 	record struct {
 		Service *config.Service     `json:"service,omitempty"`
 		Of      ident.Service       `json:"of,omitempty"`
 		Caller  *config.CallerLimit `json:"caller,omitempty"`
+		Host    *config.Host        `json:"host,omitempty"`
+		Intake  *config.Intake      `json:"intake,omitempty"`
 	}
 
 	keyed struct {
@@ -87,6 +90,14 @@
 			}
 		}
 	}
+	for i := range file.Hosts {
+		if err := add("host/"+file.Hosts[i].Name, record{Host: &file.Hosts[i]}); err != nil {
+			return nil, 0, err
+		}
+	}
+	if err := add("intake/", record{Intake: &file.Intake}); err != nil {
+		return nil, 0, err
+	}
 	slices.SortFunc(records, func(a, b keyed) int { return cmp.Compare(a.key, b.key) })
 	return records, total, nil
 }
@@ -139,7 +150,14 @@
 		if r.Service != nil {
 			file.Services = append(file.Services, *r.Service)
 		}
+		if r.Host != nil {
+			file.Hosts = append(file.Hosts, *r.Host)
+		}
+		if r.Intake != nil {
+			file.Intake = *r.Intake
+		}
 	}
+	slices.SortFunc(file.Hosts, func(a, b config.Host) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(file.Services, func(a, b config.Service) int { return cmp.Compare(a.Name, b.Name) })
 	byName := make(map[ident.Service]*config.Service, len(file.Services))
 	for i := range file.Services {
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -22,6 +22,8 @@
 	MaxHoldBound    = 24 * time.Hour
 	MaxAttempts     = 10
 	MaxFloor        = 100_000
+	MaxPriority     = 1000
+	MaxWeight       = 1_000_000
 )
 
 var (
@@ -74,14 +76,66 @@
 			c.add(path+".name", "%q is also the name of services[%d]", s.Name, first)
 		}
 		names[s.Name] = i
-		c.hosts(path, s, hosts)
+		c.hosts(path, s, hosts, len(file.Hosts) > 0)
 		c.service(path, s)
 	}
+	for i := range file.Hosts {
+		c.host(fmt.Sprintf("$.hosts[%d]", i), &file.Hosts[i], names, hosts)
+	}
+	c.intake("$.intake", &file.Intake)
 	return c.faults
 }
 
-func (c *checker) hosts(path string, s *Service, taken map[string]ident.Service) {
-	if len(s.Hosts) == 0 {
+func (c *checker) host(path string, h *Host, services map[ident.Service]int, taken map[string]ident.Service) {
+	if !hostPattern.MatchString(h.Name) {
+		c.add(path+".name", "%q is not a host name in lower case without port", h.Name)
+	}
+	if other, twice := taken[h.Name]; twice {
+		c.add(path+".name", "%q already belongs to service %q", h.Name, other)
+	}
+	taken[h.Name] = ""
+	seen := map[string]int{}
+	for i := range h.Routes {
+		r := &h.Routes[i]
+		at := fmt.Sprintf("%s.routes[%d]", path, i)
+		if first, twice := seen[r.Prefix]; twice {
+			c.add(at+".prefix", "%q is already set by routes[%d]", r.Prefix, first)
+		}
+		seen[r.Prefix] = i
+		c.hostRoute(at, r, services)
+	}
+}
+
+func (c *checker) hostRoute(at string, r *HostRoute, services map[ident.Service]int) {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		c.add(at+".prefix", "%q does not begin and end with /", r.Prefix)
+	}
+	c.duration(at+".deadline", r.Deadline, MinDeadline, MaxDeadline)
+	c.duration(at+".target-latency", r.Target, time.Millisecond, MaxDeadline)
+	c.within(at+".attempts", float64(r.Attempts), 1, MaxAttempts, "attempts")
+	c.within(at+".priority", float64(r.Priority), 0, MaxPriority, "as a rank")
+	total := 0
+	for i, p := range r.Parts {
+		if _, known := services[p.Service]; !known {
+			c.add(fmt.Sprintf("%s.parts[%d].service", at, i), "%q is not a service of this file", p.Service)
+		}
+		c.within(fmt.Sprintf("%s.parts[%d].weight", at, i), float64(p.Weight), 0, MaxWeight, "as a weight")
+		total += p.Weight
+	}
+	if total <= 0 {
+		c.add(at+".parts", "at least one part with a weight is needed")
+	}
+}
+
+func (c *checker) intake(path string, i *Intake) {
+	c.within(path+".max-header-bytes", float64(i.MaxHeaderBytes), 1<<10, 1<<20, "bytes")
+	c.within(path+".max-body-bytes", float64(i.MaxBodyBytes), 0, MaxRequestBytes, "bytes")
+	c.duration(path+".header-timeout", i.HeaderTimeout, 100*time.Millisecond, MaxDeadline)
+	c.duration(path+".idle-timeout", i.IdleTimeout, 100*time.Millisecond, MaxDeadline)
+}
+
+func (c *checker) hosts(path string, s *Service, taken map[string]ident.Service, routed bool) {
+	if len(s.Hosts) == 0 && !routed {
 		c.add(path+".hosts", "at least one host is needed")
 	}
 	for i, host := range s.Hosts {
--- a/internal/state/config/config_test.go
+++ b/internal/state/config/config_test.go
@@ -100,13 +100,13 @@
 		{"ledger.wickhollow.example.", "POST", "/orders/7", "ledger", false, 5 * time.Second},
 		{"ledger.wickhollow.example", "GET", "/stock/", "ledger", true, time.Second},
 	} {
-		m, found := table.Match(c.host, c.method, c.path)
+		m, found := table.Match(c.host, c.method, c.path, 0)
 		assert.Assert(t, found, c.host)
 		assert.Equal(t, m.Entry.Name, c.service)
 		assert.Equal(t, m.Repeatable, c.repeatable, "%s %s", c.method, c.path)
 		assert.Equal(t, m.Deadline, c.deadline, "%s %s", c.method, c.path)
 	}
-	_, found := table.Match("nobody.example", "GET", "/")
+	_, found := table.Match("nobody.example", "GET", "/", 0)
 	assert.Check(t, !found)
 }
 
--- a/internal/state/config/file.go
+++ b/internal/state/config/file.go
@@ -23,6 +23,10 @@
 	File struct {
 		Version  int       `yaml:"version" json:"version"`
 		Services []Service `yaml:"services" json:"services"`
+		// Hosts route by host name and path across services; a host here is not
+		// among the hosts of a service.
+		Hosts  []Host `yaml:"hosts" json:"hosts,omitempty"`
+		Intake Intake `yaml:"intake" json:"intake"`
 	}
 
 	// Service is one service and what it may use.
@@ -133,6 +137,12 @@
 	for i := range f.Services {
 		f.Services[i].fill()
 	}
+	for i := range f.Hosts {
+		for j := range f.Hosts[i].Routes {
+			f.Hosts[i].Routes[j].fill()
+		}
+	}
+	f.Intake.fill()
 }
 
 func (s *Service) fill() {
--- a/internal/state/config/table.go
+++ b/internal/state/config/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/http"
 	"net/netip"
+	"path"
 	"slices"
 	"strings"
 	"time"
@@ -21,6 +22,15 @@
 		byHost   map[string]*Entry
 		byName   map[ident.Service]*Entry
 		callers  CallerLimits
+		hosts    map[string]hostTable
+		// Intake bounds what callers may send.
+		Intake Intake
+	}
+
+	// Shared is what a configuration holds beside its services.
+	Shared struct {
+		Hosts  []Host
+		Intake Intake
 	}
 
 	// Entry is one service of a Table. Its own list of callers is empty: their
@@ -42,6 +52,16 @@
 		Entry      *Entry
 		Repeatable bool
 		Deadline   time.Duration
+		// Target is the time within which an answer is of full use; zero is
+		// not set.
+		Target time.Duration
+		// Hedge is when a second attempt may join the first; zero is never.
+		Hedge    time.Duration
+		Priority int
+		// Attempts is the most backend servers that the request is sent to.
+		Attempts int
+		// MaxBodyBytes bounds the request's body.
+		MaxBodyBytes int64
 	}
 
 	allowed struct {
@@ -64,17 +84,23 @@
 		entries[i] = CompileService(&s)
 	}
 	callers.Sort()
-	return Assemble(revision, entries, callers)
+	return Assemble(revision, entries, Shared{Hosts: file.Hosts, Intake: file.Intake}, callers)
 }
 
 // Assemble makes a Table of services that are compiled already.
-func Assemble(revision ident.Revision, entries []*Entry, callers CallerLimits) *Table {
+func Assemble(revision ident.Revision, entries []*Entry, shared Shared, callers CallerLimits) *Table {
 	t := &Table{
 		Revision: revision,
 		services: entries,
 		byHost:   make(map[string]*Entry, len(entries)),
 		byName:   make(map[ident.Service]*Entry, len(entries)),
 		callers:  callers,
+		hosts:    make(map[string]hostTable, len(shared.Hosts)),
+		Intake:   shared.Intake,
+	}
+	t.Intake.fill()
+	for i := range shared.Hosts {
+		t.hosts[shared.Hosts[i].Name] = compileHost(&shared.Hosts[i])
 	}
 	slices.SortFunc(entries, func(a, b *Entry) int { return cmp.Compare(a.Name, b.Name) })
 	for _, e := range entries {
@@ -110,8 +136,8 @@
 	return r.Methods
 }
 
-func trimPath(path string) string {
-	return strings.TrimRight(path, "/")
+func trimPath(p string) string {
+	return strings.TrimRight(p, "/")
 }
 
 // Service returns a service by name, or nil.
@@ -127,17 +153,26 @@
 	return t.services
 }
 
-// Match finds the service of a request. The host may carry a port.
-func (t *Table) Match(host, method, path string) (Match, bool) {
+// Match finds the service of a request. The host may carry a port; the path is
+// as it stands in the request line. A number in [0, 1) chooses among the parts
+// of a route that is split by weight.
+func (t *Table) Match(host, method, target string, draw float64) (Match, bool) {
 	if t == nil {
 		return Match{}, false
 	}
-	e, found := t.byHost[hostName(host)]
+	name := hostName(host)
+	if routes, found := t.hosts[name]; found {
+		return t.matchHost(routes, target, draw)
+	}
+	e, found := t.byHost[name]
 	if !found {
 		return Match{}, false
 	}
-	m := Match{Table: t, Entry: e, Repeatable: safe(method), Deadline: e.Deadline}
-	r := e.route(method, path)
+	m := Match{
+		Table: t, Entry: e, Repeatable: safe(method), Deadline: e.Deadline,
+		Hedge: e.Retry.Hedge, Attempts: e.Retry.Attempts, MaxBodyBytes: e.MaxRequestBytes,
+	}
+	r := e.route(method, path.Clean("/"+target))
 	if r == nil {
 		return m, true
 	}
@@ -150,22 +185,42 @@
 	return m, true
 }
 
+func (t *Table) matchHost(routes hostTable, target string, draw float64) (Match, bool) {
+	r := routes.find(target)
+	if r == nil {
+		return Match{}, false
+	}
+	e, found := t.byName[r.choose(draw)]
+	if !found {
+		return Match{}, false
+	}
+	m := Match{
+		Table: t, Entry: e, Repeatable: r.Repeatable, Deadline: r.Deadline, Target: r.Target,
+		Hedge:    time.Duration(hedgeShare * float64(r.Target)),
+		Priority: r.Priority, Attempts: r.Attempts, MaxBodyBytes: e.MaxRequestBytes,
+	}
+	if t.Intake.MaxBodyBytes > 0 {
+		m.MaxBodyBytes = t.Intake.MaxBodyBytes
+	}
+	return m, true
+}
+
 // route returns the route with the longest prefix; at the same length a named
 // method goes before any method.
-func (e *Entry) route(method, path string) *Route {
-	path = trimPath(path)
+func (e *Entry) route(method, target string) *Route {
+	target = trimPath(target)
 	for {
-		if r, found := e.routes[method+path]; found {
+		if r, found := e.routes[method+target]; found {
 			return r
 		}
-		if r, found := e.routes[anyMethod+path]; found {
+		if r, found := e.routes[anyMethod+target]; found {
 			return r
 		}
-		cut := strings.LastIndexByte(path, '/')
+		cut := strings.LastIndexByte(target, '/')
 		if cut < 0 {
 			return nil
 		}
-		path = path[:cut]
+		target = target[:cut]
 	}
 }
 
--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -235,6 +235,35 @@
 	g.touch(t.Now, e, "")
 }
 
+// Serve tells what the backend server beside the own node serves, and reports
+// whether that is news.
+func (g *Group) Serve(t turn.Turn, service ident.Service, slots int) bool {
+	e := g.entries[g.self]
+	if e.Service == service && e.Slots == slots {
+		return false
+	}
+	e.Service, e.Slots = service, slots
+	e.Beat++
+	e.Accusers = nil
+	g.touch(t.Now, e, "")
+	return true
+}
+
+// Introduce takes records from another source than a neighbour.
+func (g *Group) Introduce(now time.Time, records []Record) {
+	g.merge(now, Message{Records: records})
+}
+
+// Sequence grows with every change of the view.
+func (g *Group) Sequence() uint64 {
+	return g.sequence
+}
+
+// Self returns the own record.
+func (g *Group) Self() Record {
+	return g.entries[g.self].Record
+}
+
 // SetRevision tells which configuration is in force here.
 func (g *Group) SetRevision(r ident.Revision) {
 	g.inForce = max(g.inForce, r)
--- a/internal/state/member/record.go
+++ b/internal/state/member/record.go
@@ -37,6 +37,10 @@
 		Leaving     bool
 		Gone        bool
 		Accusers    []ident.Node
+		// Service is what the backend server beside the node serves.
+		Service ident.Service
+		// Slots is how many requests it takes at once; zero is none at all.
+		Slots int
 	}
 
 	// entry is a Record with this node's own notes on it.
@@ -113,6 +117,8 @@
 		flags |= 2
 	}
 	number(flags)
+	write(string(a.Service))
+	number(uint64(a.Slots))
 	for _, accuser := range a.Accusers {
 		write(string(accuser))
 	}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -55,6 +55,12 @@
 		Incarnation ident.Incarnation `json:"incarnation"`
 		State       State             `json:"state"`
 		Zone        ident.Zone        `json:"zone,omitempty"`
+		// Sequence orders the announcements of one incarnation, so that a late
+		// one can be told; zero is not said.
+		Sequence uint64 `json:"sequence,omitempty"`
+		// Born is when the server started, in Unix milliseconds; zero is not
+		// said. Of two servers at one address the younger one holds it.
+		Born uint64 `json:"born,omitempty"`
 	}
 
 	// FieldError names the field of an announcement that is wrong.
@@ -128,6 +134,9 @@
 	if known && e.gone && a.Incarnation == e.Incarnation && e.State == Draining {
 		return Change{}, errors.Wrapf(ErrStale, "incarnation %d has left", a.Incarnation)
 	}
+	if known && a.Incarnation == e.Incarnation && a.Sequence > 0 && a.Sequence <= e.Sequence {
+		return Change{}, errors.Wrapf(ErrStale, "sequence %d, known is %d", a.Sequence, e.Sequence)
+	}
 	if !known && len(r.servers) >= maxServers {
 		return Change{}, errors.Wrapf(ErrFull, "%d are known", len(r.servers))
 	}
@@ -143,6 +152,54 @@
 	return change, nil
 }
 
+// Supersede forgets the older servers at the address of one that announces
+// itself, or refuses it where a younger one is known there. It does nothing for
+// a server that does not say when it started.
+func (r *Roster) Supersede(a Announcement) ([]Change, error) {
+	if a.Born == 0 {
+		return nil, nil
+	}
+	var changes []Change
+	for id, e := range r.servers {
+		if id == a.ID || e.Address != a.Address {
+			continue
+		}
+		if e.Born > a.Born {
+			return nil, errors.Wrapf(ErrStale, "%s is younger at %s", id, a.Address)
+		}
+		if !e.gone {
+			e.gone = true
+			changes = append(changes, Change{Server: e.Announcement, Gone: true})
+		}
+	}
+	return changes, nil
+}
+
+// Depart forgets a server for good, whatever its incarnation: nothing that it
+// said before may bring it back. One that is not known is remembered, so that
+// its late announcements are not believed.
+func (r *Roster) Depart(now time.Time, id ident.Backend) (Change, bool) {
+	e, known := r.servers[id]
+	if !known {
+		if r.servers == nil {
+			r.servers = map[ident.Backend]*entry{}
+		}
+		r.servers[id] = &entry{
+			Announcement: Announcement{ID: id, Incarnation: ident.Incarnation(now.UnixMilli()), State: Draining},
+			expires:      now.Add(Lease),
+			gone:         true,
+		}
+		return Change{}, false
+	}
+	if e.gone && e.State == Draining {
+		return Change{}, false
+	}
+	was := e.gone
+	e.gone = true
+	e.State = Draining
+	return Change{Server: e.Announcement, Gone: true}, !was
+}
+
 // Leave forgets a server of the given incarnation.
 func (r *Roster) Leave(id ident.Backend, incarnation ident.Incarnation) (Change, bool) {
 	e, known := r.servers[id]
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -18,6 +18,8 @@
 	ErrTooLarge = errors.New("store: value too large")
 	// ErrLeaseLost marks a lease that has lapsed or was revoked.
 	ErrLeaseLost = errors.New("store: lease lost")
+	// ErrUnchanged marks a watch that ended without news.
+	ErrUnchanged = errors.New("store: unchanged")
 	// ErrUnavailable marks a call that got no answer; a write may have been
 	// done.
 	ErrUnavailable = errors.New("store: unavailable")
