health, desk: a lone server is judged by a prior, and not for its calls' failures

Cause: behind a sidecar with one backend server the sequential test had no level to compare with; a fixed one with a low failure rate of the sick ejected on age and latency in every burst, and a request that failed because a call of its own failed counted against the server that ran it. 60% of the server-seconds were spent ejected.

--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -44,6 +44,7 @@
 	BackendReturned  = Event{306, "backend-returned", hclog.Info, "A backend server is back in service."}
 	BackendMoved     = Event{307, "backend-moved", hclog.Info, "A backend server announced itself to another node with a higher incarnation."}
 	BackendRefused   = Event{308, "backend-refused", hclog.Warn, "What a backend server said of itself could not be read, or was older than what is known; it was used for nothing."}
+	AttemptFailed    = Event{309, "attempt-failed", hclog.Info, "A backend server failed an attempt."}
 	OutcomeUnknown   = Event{401, "outcome-unknown", hclog.Warn, "A caller was told that its request may have been run."}
 	AnswerRecovered  = Event{402, "answer-recovered", hclog.Info, "An answer lost on its way was fetched by a fence."}
 	AnswerCut        = Event{403, "answer-cut", hclog.Warn, "An answer broke off after its first bytes had gone to the caller; the caller's connection was cut."}
@@ -63,7 +64,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked,
 		ConfigAdopted, ConfigAccepted, ConfigRefused, ConfigOld, ConfigBroken,
-		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused,
+		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused, AttemptFailed,
 		OutcomeUnknown, AnswerRecovered, AnswerCut,
 		NodeJoined, NodeSuspected, NodeDead, NodeBack, PeerRefused,
 		StoreAway, StoreBack, EntryLost, EntryBroken,
--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -33,11 +33,21 @@
 )
 
 const (
-	// loneThreshold is the sum at which a server that is judged by a prior level
-	// raises an alarm: about three failures in a row.
-	loneThreshold = 7.0
+	// loneThreshold is the sum of failures at which a server that is judged by a
+	// prior level raises an alarm: two in a row, with the prior's rates.
+	loneThreshold = 4.9
+	// loneLatencyThreshold is the same for latencies: eight slow answers in a row.
+	loneLatencyThreshold = 16.0
+	// wideTrialAfter is when a trial that had no repeatable request takes any.
+	wideTrialAfter = time.Second
+	// loneAgeThreshold is the same for requests without an answer: three at three
+	// times their target.
+	loneAgeThreshold = 20.0
+	// loneProbation is what such a server returns with: one failure more ejects
+	// it again.
+	loneProbation = 2.5
 	// loneTrialAnswers is how many good answers end its trial.
-	loneTrialAnswers = 2
+	loneTrialAnswers = 1
 )
 
 type (
@@ -136,6 +146,8 @@
 		roster.Announcement
 		allowed   bool
 		removed   bool
+		// trialFor is how long the server has been on trial.
+		trialFor  time.Duration
 		coldSince time.Time
 		coldUntil time.Time
 	}
@@ -323,12 +335,24 @@
 	for _, name := range d.names() {
 		s := d.services[name]
 		d.follow(t, s, s.tracker.Tick(t), &ops)
+		d.widen(t, s, &ops)
 		d.cover(t, s, &ops)
 		d.outcome(t, s, s.line.Tick(t), &ops)
 	}
 	return ops
 }
 
+// widen opens a trial that has had no repeatable request to other ones.
+func (d *Desk) widen(t turn.Turn, s *service, ops *Ops) {
+	for _, v := range s.servers {
+		was := v.trialFor
+		v.trialFor = s.tracker.TrialFor(t, v.ID)
+		if (was > wideTrialAfter) != (v.trialFor > wideTrialAfter) {
+			d.place(t, s, v, ops)
+		}
+	}
+}
+
 // Expire forgets old fences. It is dear, so it has a slower beat than Tick.
 func (d *Desk) Expire(t turn.Turn) {
 	d.fences.Expire(t.Now)
--- a/internal/policy/desk/dump.go
+++ b/internal/policy/desk/dump.go
@@ -93,6 +93,20 @@
 	return m, true
 }
 
+// Standing tells how the backend server of an attempt is judged now.
+func (d *Desk) Standing(id ident.Attempt) string {
+	h, found := d.held[id]
+	if !found || h.server == "" {
+		return "none"
+	}
+	s := d.services[h.Service]
+	v, found := s.servers[h.server]
+	if !found {
+		return "gone"
+	}
+	return s.grade(v).String()
+}
+
 // Dump reports on everything.
 func (d *Desk) Dump(t turn.Turn) Report {
 	r := Report{
--- a/internal/policy/desk/servers.go
+++ b/internal/policy/desk/servers.go
@@ -282,6 +282,10 @@
 	trade.Prior = s.prior
 	if s.prior.Weight > 0 {
 		trade.Threshold = loneThreshold
+		trade.AtOnce = true
+		trade.LatencyThreshold = loneLatencyThreshold
+		trade.AgeThreshold = loneAgeThreshold
+		trade.Probation = loneProbation
 		trade.TrialAnswers = loneTrialAnswers
 	}
 	s.tracker.Configure(trade)
@@ -295,6 +299,8 @@
 	switch {
 	case state == health.InService:
 		return queue.Preferred
+	case state == health.OnTrial && s.prior.Weight > 0 && v.trialFor > wideTrialAfter:
+		return queue.Wary
 	case state == health.OnTrial:
 		return queue.Trial
 	case v.removed:
--- a/internal/policy/health/alarm.go
+++ b/internal/policy/health/alarm.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/figwick/figwick/internal/base/turn"
@@ -18,11 +19,11 @@
 		if k.confirmFailures(s, level) {
 			return k.eject(t, s, ForFailures, s.failureOnset)
 		}
-	case s.latencySum >= k.config.Threshold:
+	case s.latencySum >= k.latencyThreshold():
 		if k.confirmLatency(t, s, level) {
 			return k.eject(t, s, ForLatency, s.latencyOnset)
 		}
-	case ages > 0 && ages+s.failureSum >= k.config.Threshold:
+	case ages > 0 && ages+s.failureSum >= k.ageThreshold():
 		if k.confirmAges(t, s, level) {
 			return k.eject(t, s, ForHanging, s.oldest(t.Now))
 		}
@@ -62,13 +63,21 @@
 		}
 	})
 	s.latencySum = min(s.latencySum, sum)
-	return s.latencySum >= k.config.Threshold
+	return s.latencySum >= k.latencyThreshold()
+}
+
+func (k *Tracker) latencyThreshold() float64 {
+	return cmp.Or(k.config.LatencyThreshold, k.config.Threshold)
 }
 
 // confirmAges does the same for requests in flight.
 func (k *Tracker) confirmAges(t turn.Turn, s *server, level Level) bool {
 	level = k.levelSince(t, s, level, s.oldest(t.Now))
-	return s.ageSum(level, t.Now)+s.failureSum >= k.config.Threshold
+	return s.ageSum(level, t.Now)+s.failureSum >= k.ageThreshold()
+}
+
+func (k *Tracker) ageThreshold() float64 {
+	return cmp.Or(k.config.AgeThreshold, k.config.Threshold)
 }
 
 // levelSince moves a level to what the other servers did since a moment. Their
--- a/internal/policy/health/level.go
+++ b/internal/policy/health/level.go
@@ -18,9 +18,14 @@
 	if k.remote.Weight > 0 {
 		level = blend(level, k.remote)
 	}
+	if k.config.Prior.Weight == 0 {
+		return level
+	}
 	if level.Weight == 0 {
 		return k.config.Prior
 	}
+	level.Sick = k.config.Prior.Sick
+	level.Failure = max(level.Failure, k.config.Prior.Failure)
 	return level
 }
 
--- a/internal/policy/health/score.go
+++ b/internal/policy/health/score.go
@@ -41,6 +41,9 @@
 		Spread  float64
 		Failure float64
 		Weight  float64
+		// Sick is the failure rate of a sick server, where that is known to be
+		// higher than the package's.
+		Sick float64
 	}
 
 	// sample is one finished request.
@@ -58,7 +61,7 @@
 // failureRatio is the log-likelihood ratio of one result.
 func failureRatio(level Level, failed bool) float64 {
 	well := clamp(level.Failure, leastFailure, mostFailure)
-	sick := clamp(max(sickFailure, sickFailureFactor*well), well, mostFailure)
+	sick := clamp(max(sickFailure, level.Sick, sickFailureFactor*well), well, mostFailure)
 	if failed {
 		return math.Log(sick / well)
 	}
--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -109,6 +109,18 @@
 		Threshold float64
 		Hold      time.Duration
 		MaxHold   time.Duration
+		// LatencyThreshold is the sum at which latencies raise an alarm; zero is
+		// Threshold.
+		LatencyThreshold float64
+		// AtOnce tries a server again without a hold where it has not been
+		// ejected for long.
+		AtOnce bool
+		// AgeThreshold is the sum at which requests without an answer raise an
+		// alarm; zero is Threshold.
+		AgeThreshold float64
+		// Probation is the sum of failures that a server returns with; it falls
+		// with each good answer.
+		Probation float64
 		// TrialAnswers replaces the package's; zero is the package's.
 		TrialAnswers int
 		// Prior is the level believed while nothing is known of other servers;
@@ -236,6 +248,15 @@
 	return ops
 }
 
+// TrialFor returns how long a server has been on trial; zero where it is not.
+func (k *Tracker) TrialFor(t turn.Turn, id ident.Backend) time.Duration {
+	s := k.find(id)
+	if s == nil || s.state != OnTrial {
+		return 0
+	}
+	return t.Now.Sub(s.holdEnd)
+}
+
 // State returns where a server stands and how strongly it is suspected, from 0
 // to 1.
 func (k *Tracker) State(id ident.Backend) (State, float64) {
@@ -270,6 +291,9 @@
 func (k *Tracker) eject(t turn.Turn, s *server, reason Reason, onset time.Time) []Op {
 	s.state = Ejected
 	s.holdEnd = t.Now.Add(k.hold(s.strikes))
+	if k.config.AtOnce && s.strikes == 0 {
+		s.holdEnd = t.Now
+	}
 	s.strikes = min(s.strikes+1, mostStrikes)
 	s.reset()
 	return []Op{{Action: Eject, Server: s.id, Reason: reason, Onset: onset}}
@@ -288,7 +312,7 @@
 	if s.state != OnTrial {
 		return nil
 	}
-	if p.failed || level.Weight > 0 && latencyRatio(level, p.log) >= mostStep {
+	if p.failed || level.Weight > 0 && !k.config.AtOnce && latencyRatio(level, p.log) >= mostStep {
 		return k.eject(t, s, ForTrial, p.at)
 	}
 	if level.Weight > 0 && latencyRatio(level, p.log) > 0 {
@@ -306,6 +330,8 @@
 	s.state = InService
 	s.wellFrom = t.Now
 	s.reset()
+	s.failureSum = k.config.Probation
+	s.failureOnset = t.Now
 	return []Op{{Action: Return, Server: s.id}}
 }
 
--- a/internal/policy/queue/line.go
+++ b/internal/policy/queue/line.go
@@ -15,6 +15,8 @@
 	Preferred Grade = iota
 	// Trial servers take one repeatable attempt at a time.
 	Trial
+	// Wary servers take one attempt of any kind at a time.
+	Wary
 	// Last servers take what no other has room for.
 	Last
 	// Closed servers take nothing.
@@ -308,7 +310,9 @@
 	case Preferred:
 		return true
 	case Trial:
-		return e.Repeatable
+		return e.Repeatable || e.LastResort
+	case Wary:
+		return true
 	case Last:
 		return e.LastResort
 	default:
@@ -318,7 +322,7 @@
 
 // room is how many slots may be busy now: fewer during the ramp, one on trial.
 func (s *Server) room(t turn.Turn) int {
-	if s.Grade == Trial {
+	if s.Grade == Trial || s.Grade == Wary {
 		return 1
 	}
 	ramp := s.ColdUntil.Sub(s.ColdSince)
@@ -361,6 +365,8 @@
 		return "preferred"
 	case Trial:
 		return "trial"
+	case Wary:
+		return "wary"
 	case Last:
 		return "last"
 	default:
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -274,6 +274,7 @@
 
 func (r *answer) writeHead() {
 	r.x.committed = true
+	r.x.succeeded = r.head.Status < http.StatusInternalServerError
 	h := r.x.writer.Header()
 	for _, field := range r.head.Headers {
 		h[field.Name] = append(h[field.Name], field.Value)
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -23,9 +23,9 @@
 	openTimeout = time.Second
 	// patience is how long an attempt may be silent before its path is tried.
 	patience = 500 * time.Millisecond
-	// resortTries is how many sidecars with a line are asked before a backend
-	// server that is held to be sick.
-	resortTries = 2
+	// resortTries is how many sidecars are asked before a backend server that is
+	// held to be sick.
+	resortTries = 10
 	// pingTimeout bounds the sign of life that a silent path must give.
 	pingTimeout = time.Second
 )
@@ -155,7 +155,7 @@
 	if x.server.config.DirectTries == 0 {
 		return x.plan.LastTry()
 	}
-	return x.plan.Refused() >= x.server.config.DirectTries+resortTries
+	return x.plan.Refused() >= min(resortTries, x.known)
 }
 
 func (x *exchange) level(except string) *wire.Level {
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -53,6 +53,10 @@
 	headers    []*wire.Header
 	plan       retry.Plan
 	tried      []string
+	// succeeded tells that the caller got an answer that is no failure.
+	succeeded bool
+	// known is how many sidecars there are.
+	known int
 	// moved tells that the last sidecar has no backend servers any more.
 	moved bool
 	// committed tells that the answer's head has gone to the caller.
@@ -291,6 +295,7 @@
 func (x *exchange) plans() {
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
 		l.used = t.Now
+		x.known = l.picker.Len()
 		l.budget.Earn(x.match.Entry.Retry.BudgetPercent)
 		x.plan = retry.Plan{
 			Repeatable: x.repeatable,
--- a/internal/proxy/front/server.go
+++ b/internal/proxy/front/server.go
@@ -68,6 +68,11 @@
 		// DirectTries is how many sidecars are asked for a free slot before one
 		// is asked to let the request wait.
 		DirectTries int
+		// OwnCalls is told of requests of the backend server beside this ingress
+		// that failed; nil is not told.
+		OwnCalls func()
+		// OwnHost is the IP address that such requests come from.
+		OwnHost string
 		// Keys keeps the records of idempotency keys; nil keeps none.
 		Keys Keys
 	}
@@ -141,6 +146,9 @@
 	x := &exchange{server: s, writer: w, request: r, arrived: s.config.Clock.Now()}
 	defer x.guard()
 	x.serve()
+	if !x.succeeded && s.config.OwnCalls != nil && hostOf(r.RemoteAddr) == s.config.OwnHost {
+		s.config.OwnCalls()
+	}
 }
 
 // SetSidecars tells which sidecars serve a service.
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -209,6 +209,8 @@
 
 		Dialect:     c.CallerSpeech,
 		Origin:      c.Origin,
+		OwnCalls:    n.side.Excuse,
+		OwnHost:     hostOf(c.Address),
 		Path:        c.Path,
 		DirectTries: c.DirectTries,
 	})
@@ -336,8 +338,17 @@
 
 // lonePrior is how a backend server does whose peers are not known: latencies
 // relative to their target, as the deployments' work and targets stand to each
-// other, and few failures.
-var lonePrior = health.Level{Mean: math.Log(0.3), Spread: 0.6, Failure: 0.02, Weight: 1}
+// other, and some failures; a sick one fails
+// most of what it gets.
+var lonePrior = health.Level{Mean: math.Log(0.3), Spread: 0.6, Failure: 0.05, Weight: 1, Sick: 0.6}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
 
 func (n *Node) finder() front.Finder {
 	if n.config.Listed {
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/figwick/figwick/internal/base/events"
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/base/turn"
 	"github.com/figwick/figwick/internal/peer/wire"
@@ -224,9 +225,9 @@
 }
 
 // verdict is what an outcome says of the backend server: what it makes of a body
-// that broke off says nothing.
+// that broke off, or of a call of its own that failed, says nothing.
 func (a *attempt) verdict(o health.Outcome) health.Outcome {
-	if a.body.broken() {
+	if a.body.broken() || o != health.OK && a.server.excused.Load() > a.began.Load() {
 		return health.Dropped
 	}
 	return o
@@ -235,6 +236,7 @@
 func (a *attempt) finish(o health.Outcome, answer *fence.Answer) {
 	s := a.server
 	o = a.verdict(o)
+	a.reportFailure(o)
 	s.Do(func(t turn.Turn, d *desk.Desk) desk.Ops {
 		return d.Finish(t, a.id, health.Result{Outcome: o, Took: a.took}, answer)
 	})
@@ -246,6 +248,18 @@
 	delete(s.fated, a.id)
 }
 
+// reportFailure logs an attempt that its backend server failed, with how that
+// server was judged when the failure came.
+func (a *attempt) reportFailure(o health.Outcome) {
+	if o != health.Failed && o != health.Hung {
+		return
+	}
+	standing := ""
+	a.server.Look(func(_ turn.Turn, d *desk.Desk) { standing = d.Standing(a.id) })
+	events.Emit(a.server.config.Log, events.AttemptFailed, "attempt", string(a.id), "service", string(a.service),
+		"standing", standing, "hung", o == health.Hung, "repeatable", a.head.Repeatable, "took", a.took.String())
+}
+
 // request is what the backend server gets.
 func (a *attempt) request(ctx context.Context, v verdict) *http.Request {
 	r := &http.Request{
--- a/internal/proxy/side/server.go
+++ b/internal/proxy/side/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -43,6 +44,9 @@
 		waiting map[ident.Attempt]chan verdict
 		fated   map[ident.Attempt][]chan struct{}
 		running map[ident.Attempt]string
+		// excused is when a call of the backend server here last failed, in
+		// nanoseconds.
+		excused atomic.Int64
 	}
 
 	// verdict ends the waiting of one attempt.
@@ -80,6 +84,12 @@
 	}
 }
 
+// Excuse notes that a call which the backend server made for a request has
+// failed: requests under way may fail for that.
+func (s *Server) Excuse() {
+	s.excused.Store(s.config.Clock.Now().UnixNano())
+}
+
 // Look reads from the Desk.
 func (s *Server) Look(look func(t turn.Turn, d *desk.Desk)) {
 	s.mutex.Lock()
