--- a/internal/policy/retry/plan.go
+++ b/internal/policy/retry/plan.go
@@ -76,12 +76,7 @@
 
 // Next takes the outcome of an attempt and decides.
 func (p *Plan) Next(now time.Time, o Outcome) Step {
-	p.attempts++
-	rerun := o == Broken || o == Lost
-	p.mayRun = p.mayRun || rerun
-	if !rerun && o != Shed {
-		p.refused++
-	}
+	rerun := p.count(o)
 	if p.spent() || !now.Before(p.Deadline) {
 		return p.giveUp()
 	}
@@ -110,9 +105,21 @@
 	return GiveUpNotRun
 }
 
-// Note takes the outcome of an attempt that ran beside another.
+// Note takes the outcome of an attempt that ran beside another, which is still
+// to come.
 func (p *Plan) Note(o Outcome) {
-	p.mayRun = p.mayRun || o == Broken || o == Lost
+	p.count(o)
+}
+
+// count adds an attempt and reports whether it may have run.
+func (p *Plan) count(o Outcome) bool {
+	p.attempts++
+	rerun := o == Broken || o == Lost
+	p.mayRun = p.mayRun || rerun
+	if !rerun && o != Shed {
+		p.refused++
+	}
+	return rerun
 }
 
 // GiveUp ends the request without another attempt.
--- a/internal/proxy/front/hedge.go
+++ b/internal/proxy/front/hedge.go
@@ -90,12 +90,14 @@
 		running++
 	}
 	var r result
-	for range running {
+	for left := running - 1; left >= 0; left-- {
 		r = x.conclude(<-ends)
 		if r.answered {
 			return r
 		}
-		x.plan.Note(r.outcome)
+		if left > 0 {
+			x.plan.Note(r.outcome)
+		}
 		if r.fallback != nil {
 			x.fallback = r.fallback
 		}
