node, platform: pollers follow the configuration, SIGHUP reads the settings

Change: two nodes a zone, and any that no other node reaches, watch with short waits and the others hear of news by gossip; SIGHUP and a changed file are read, what is bad is refused whole.

--- a/cmd/figwick/platform.go
+++ b/cmd/figwick/platform.go
@@ -25,8 +25,7 @@
 			text("log-level", &level, "info", "one of trace, debug, info, warn, error"),
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			settings, err := platform.ReadSettings(file)
-			if err != nil {
+			if _, err := platform.ReadSettings(file); err != nil {
 				return coded(codeUsage, err)
 			}
 			log := hclog.New(&hclog.LoggerOptions{
@@ -36,7 +35,7 @@
 			defer end()
 			ctx, stop := stopSignals(ctx, end)
 			defer stop()
-			return platform.Run(ctx, abort, settings, log, version)
+			return platform.Run(ctx, abort, file, log, version)
 		},
 	}
 }
--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -31,6 +31,8 @@
 	NodeCut          = Event{104, "node-cut", hclog.Error, "The stop reached its bound; what was in flight is cut and listed."}
 	ListenerFailed   = Event{105, "listener-failed", hclog.Error, "A listener ended with an error."}
 	HandlerPanicked  = Event{106, "handler-panicked", hclog.Error, "A request's handler failed; its caller was told that the outcome is unknown."}
+	SettingsRead     = Event{107, "settings-read", hclog.Info, "The settings have changed; what can change in a running node is in force."}
+	SettingsBroken   = Event{108, "settings-broken", hclog.Error, "The changed settings could not be read; the old ones stay in force."}
 	ConfigAdopted    = Event{201, "config-adopted", hclog.Info, "A newer revision is in force at this node."}
 	ConfigAccepted   = Event{202, "config-accepted", hclog.Info, "A file applied at this node was accepted."}
 	ConfigRefused    = Event{203, "config-refused", hclog.Warn, "A file applied at this node was not accepted."}
@@ -62,7 +64,7 @@
 // All returns the catalogue by number.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked,
+		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked, SettingsRead, SettingsBroken,
 		ConfigAdopted, ConfigAccepted, ConfigRefused, ConfigOld, ConfigBroken,
 		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused, AttemptFailed,
 		OutcomeUnknown, AnswerRecovered, AnswerCut,
--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -25,6 +25,8 @@
 	news chan struct{}
 	// shown is the state of the group that the ingress was last told of.
 	shown uint64
+	// heard is when another node was last heard.
+	heard time.Time
 }
 
 func newFleet(n *Node) *fleet {
@@ -123,6 +125,7 @@
 	if err != nil {
 		f.group.Failed(f.node.turn(), e.To)
 	} else {
+		f.heard = f.node.config.Clock.Now()
 		f.group.Reply(f.node.turn(), e.To, fromGossip(reply))
 	}
 	f.after()
@@ -130,11 +133,19 @@
 
 func (f *fleet) receive(m *wire.Gossip) *wire.Gossip {
 	f.mutex.Lock()
+	f.heard = f.node.config.Clock.Now()
 	answer := f.group.Receive(f.node.turn(), fromGossip(m))
 	f.after()
 	return toGossip(answer)
 }
 
+// silentFor is how long no other node was heard.
+func (f *fleet) silentFor() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.node.config.Clock.Since(f.heard)
+}
+
 // after reports what an event changed and releases the mutex.
 func (f *fleet) after() {
 	changes := f.group.Changes()
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -87,8 +88,8 @@
 	n.meter.Queued.Update(float64(queued))
 	live := len(n.fleet.live())
 	n.meter.Members.Update(float64(live))
-	if n.config.RetryBase > 0 {
-		n.front.SetSaved(n.config.RetryBase / float64(max(live, 1)))
+	if base := math.Float64frombits(n.retryBase.Load()); base > 0 {
+		n.front.SetSaved(base / float64(max(live, 1)))
 	}
 }
 
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -150,6 +150,9 @@
 		stopping  chan struct{}
 		stopOnce  sync.Once
 		aborting  chan struct{}
+		// retryBase is the second sends that the fleet may save up for each
+		// service, as float64 bits.
+		retryBase atomic.Uint64
 		abortOnce sync.Once
 	}
 )
@@ -175,6 +178,7 @@
 		stopping: make(chan struct{}),
 		aborting: make(chan struct{}),
 	}
+	n.SetRetryBase(c.RetryBase)
 	n.links = link.NewPool(link.Config{
 		Self:    link.Peer{Node: c.ID, Zone: c.Zone, Address: c.Address, Instance: n.instance},
 		Token:   c.FleetToken,
@@ -240,6 +244,12 @@
 	return nil
 }
 
+// SetRetryBase changes the second sends that the fleet may save up for each
+// service.
+func (n *Node) SetRetryBase(base float64) {
+	n.retryBase.Store(math.Float64bits(base))
+}
+
 // Run serves until the context ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/proxy/node/sourced.go
+++ b/internal/proxy/node/sourced.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,18 +10,31 @@
 
 	"github.com/figwick/figwick/internal/base/events"
 	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/state/member"
 	"github.com/figwick/figwick/internal/state/store"
 )
 
 const (
-	// sourcedWait is the longest wait of one watch; its connection's keep-alive
-	// tells a silent one sooner.
-	sourcedWait = 25 * time.Second
+	// sourcedWait is the longest wait of one watch at most nodes: they hear of
+	// what it misses from a poller.
+	sourcedWait = 8 * time.Second
+	// pollWait is the same at the pollers. A watch that the store has dropped
+	// looks like one without news, so it must be short against the two seconds
+	// in which a configuration is to be in force.
+	pollWait = 800 * time.Millisecond
+	// pollersPerZone is how many nodes of each availability zone poll.
+	pollersPerZone = 2
+	// isolatedAfter is how long a node without word from others goes on before
+	// it polls for itself: two exchanges.
+	isolatedAfter = 2 * time.Second
 	// sourcedPause is the wait after a watch that failed.
 	sourcedPause = 500 * time.Millisecond
 	// sourcedRest is the wait after news, so that configurations in quick
 	// succession cost few calls; the deployments allow two seconds.
-	sourcedRest = 250 * time.Millisecond
+	sourcedRest = 200 * time.Millisecond
+	// followRest is the wait before a peer is asked, which the store's own word
+	// usually makes needless.
+	followRest = 100 * time.Millisecond
 )
 
 // sourced keeps the node at the newest configuration of its Source, from the
@@ -58,7 +72,21 @@
 			return item, err
 		}
 	}
-	return s.store.Watch(ctx, key, store.Wait{After: version, For: sourcedWait})
+	wait := sourcedWait
+	if s.poller() {
+		wait = pollWait
+	}
+	return s.store.Watch(ctx, key, store.Wait{After: version, For: wait})
+}
+
+// poller tells whether this node watches with short waits: a few of each zone do,
+// and those that no other node reaches.
+func (s *sourced) poller() bool {
+	if s.node.revision() == 0 || s.node.fleet.silentFor() > isolatedAfter {
+		return true
+	}
+	chosen := member.Rendezvous("poller", s.node.fleet.inZone(), pollersPerZone)
+	return slices.Contains(chosen, s.node.config.ID)
 }
 
 func (s *sourced) pause(ctx context.Context, wait time.Duration) {
@@ -77,7 +105,7 @@
 			return ctx.Err()
 		}
 		// The store is the usual way; a peer's word is for those it does not reach.
-		s.pause(ctx, sourcedRest)
+		s.pause(ctx, followRest)
 		newest := s.node.fleet.newest()
 		if newest.Address == "" || newest.Revision <= s.node.revision() {
 			continue
