front, route, queue: a free slot first, then a line, then who may take it at all

Change: a refusal tells which kind it is and for how long; the picker keeps that by repeatable and once-only; a line serves first what can still be in time, by priority.

--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -30,6 +30,8 @@
 	Duplicate
 	NoBackend
 	Leaving
+	Hopeless
+	Resting
 )
 
 const (
@@ -40,14 +42,17 @@
 	loneLatencyThreshold = 16.0
 	// wideTrialAfter is when a trial that had no repeatable request takes any.
 	wideTrialAfter = time.Second
-	// loneAgeThreshold is the same for requests without an answer: three at three
-	// times their target.
-	loneAgeThreshold = 20.0
+	// loneAgeThreshold is the same for requests without an answer: more than the slots of a
+	// backend server can bring together, since those that hang hold their slots.
+	loneAgeThreshold = 60.0
 	// loneProbation is what such a server returns with: one failure more ejects
 	// it again.
 	loneProbation = 2.5
 	// loneTrialAnswers is how many good answers end its trial.
-	loneTrialAnswers = 1
+	loneTrialAnswers = 2
+	// trialPause is how long requests that must not repeat are kept from a
+	// server on trial.
+	trialPause = 400 * time.Millisecond
 )
 
 type (
@@ -199,6 +204,7 @@
 		Repeatable: a.Repeatable,
 		LastResort: a.LastResort,
 		Deadline:   a.Deadline,
+		Target:     a.useful(t),
 		Priority:   a.Priority,
 		Direct:     a.Direct,
 	})
@@ -213,9 +219,15 @@
 	case queue.Absent:
 		d.fences.Withdraw(a.ID)
 		return refuse(NoBackend)
+	case queue.Resting:
+		d.fences.Withdraw(a.ID)
+		return Decision{Kind: Refused, Reason: Resting, Pause: s.pause(t, a.Repeatable)}
+	case queue.Hopeless:
+		d.fences.Withdraw(a.ID)
+		return refuse(Hopeless)
 	default:
 		d.fences.Withdraw(a.ID)
-		return Decision{Kind: Refused, Reason: Busy, Pause: s.tracker.Pause(t)}
+		return refuse(Busy)
 	}
 }
 
@@ -421,6 +433,27 @@
 	}
 }
 
+// pause is how long attempts of a kind will be refused, as far as is known.
+func (s *service) pause(t turn.Turn, repeatable bool) time.Duration {
+	if pause := s.tracker.Pause(t); pause > 0 || repeatable {
+		return pause
+	}
+	for _, v := range s.servers {
+		if s.grade(v) != queue.Trial {
+			return 0
+		}
+	}
+	return trialPause
+}
+
+// useful is until when the attempt's answer is of full use.
+func (a *Attempt) useful(t turn.Turn) time.Time {
+	if a.Target <= 0 {
+		return time.Time{}
+	}
+	return t.Now.Add(a.Target)
+}
+
 func (d *Desk) mayStart(t turn.Turn, id ident.Attempt) bool {
 	return t.Now.Before(d.held[id].StartBefore)
 }
--- a/internal/policy/queue/line.go
+++ b/internal/policy/queue/line.go
@@ -31,6 +31,11 @@
 	Waiting
 	// Busy attempts found no room that would serve them in time.
 	Busy
+	// Hopeless attempts would wait in line beyond their deadline.
+	Hopeless
+	// Resting attempts found only backend servers that take none of their kind
+	// now.
+	Resting
 	// Absent attempts found no backend server at all.
 	Absent
 )
@@ -60,6 +65,8 @@
 		LastResort bool
 		// Deadline is when its answer is no longer of use.
 		Deadline time.Time
+		// Target is until when its answer is of full use; zero is not set.
+		Target time.Time
 		// Priority orders the line; 0 goes first.
 		Priority int
 		// Direct entries are refused rather than made to wait.
@@ -137,7 +144,7 @@
 
 // Enter decides on an attempt that comes.
 func (l *Line) Enter(t turn.Turn, e Entry) (Decision, Grant) {
-	if len(l.waiting) == 0 || e.Priority < l.waiting[0].Priority {
+	if len(l.waiting) == 0 || l.place(t, e) == 0 {
 		if s := l.pick(t, e); s != nil {
 			s.Busy++
 			return Granted, Grant{Attempt: e.Attempt, Server: s.ID}
@@ -148,26 +155,39 @@
 		if l.open() == 0 {
 			return Absent, Grant{}
 		}
-		return Busy, Grant{}
+		return Resting, Grant{}
 	}
-	at := l.place(e)
-	if e.Direct || len(l.waiting) >= l.Length*l.open() || l.hopeless(t, e, at, slots) {
+	at := l.place(t, e)
+	if e.Direct || len(l.waiting) >= l.Length*l.open() {
 		return Busy, Grant{}
 	}
+	if l.hopeless(t, e, at, slots) {
+		return Hopeless, Grant{}
+	}
 	l.waiting = slices.Insert(l.waiting, at, e)
 	return Waiting, Grant{}
 }
 
-// place returns where an entry stands in the line: behind all that are at least
-// as urgent.
-func (l *Line) place(e Entry) int {
+// place returns where an entry stands in the line: those that can still be in
+// time go first, and among them the more urgent.
+func (l *Line) place(t turn.Turn, e Entry) int {
+	late := l.lateness(t, e)
 	at := len(l.waiting)
-	for at > 0 && l.waiting[at-1].Priority > e.Priority {
+	for at > 0 && l.behind(t, l.waiting[at-1], late, e.Priority) {
 		at--
 	}
 	return at
 }
 
+// behind tells whether a waiting entry comes after one of a lateness and a
+// priority.
+func (l *Line) behind(t turn.Turn, waiting Entry, late, priority int) bool {
+	if was := l.lateness(t, waiting); was != late {
+		return was > late
+	}
+	return waiting.Priority > priority
+}
+
 // Leave gives back the slot of an attempt that took so long; a zero time says
 // nothing about the service time.
 func (l *Line) Leave(t turn.Turn, id ident.Backend, took time.Duration) Outcome {
@@ -251,9 +271,14 @@
 	return t.Now.Add(rounds + l.mean).After(e.Deadline)
 }
 
-// advance serves the line from its head.
+// advance serves the line from its head: first the attempts whose answer can
+// still be of full use, so that in overload the slots are not spent on answers
+// that all come late.
 func (l *Line) advance(t turn.Turn) Outcome {
 	var out Outcome
+	slices.SortStableFunc(l.waiting, func(a, b Entry) int {
+		return cmp.Compare(l.lateness(t, a), l.lateness(t, b))
+	})
 	kept := l.waiting[:0]
 	for _, e := range l.waiting {
 		if t.Now.Add(l.mean).After(e.Deadline) || l.slotsFor(t, e) == 0 {
@@ -272,6 +297,14 @@
 	return out
 }
 
+// lateness is 1 for an attempt whose answer would come after its target.
+func (l *Line) lateness(t turn.Turn, e Entry) int {
+	if e.Target.IsZero() || t.Now.Add(l.mean).Before(e.Target) {
+		return 0
+	}
+	return 1
+}
+
 // pick returns the server with a free slot that suits the attempt best, or nil.
 func (l *Line) pick(t turn.Turn, e Entry) *Server {
 	var best *Server
--- a/internal/policy/queue/line_test.go
+++ b/internal/policy/queue/line_test.go
@@ -57,7 +57,7 @@
 			l.Leave(at(start), grant.Server, time.Second)
 			l.Enter(at(start), entry(2, far))
 			decision, _ := l.Enter(at(start), entry(3, start.Add(1500*time.Millisecond)))
-			assert.Equal(t, decision, queue.Busy)
+			assert.Equal(t, decision, queue.Hopeless)
 		}},
 		{"one that has waited too long is refused at its turn", func(t *testing.T) {
 			l := line(queue.Server{ID: "a", Slots: 1})
@@ -74,7 +74,7 @@
 		{"a last server only serves as a last resort", func(t *testing.T) {
 			l := line(queue.Server{ID: "a", Slots: 1, Grade: queue.Last})
 			decision, _ := l.Enter(at(start), entry(1, far))
-			assert.Equal(t, decision, queue.Busy)
+			assert.Equal(t, decision, queue.Resting)
 			e := entry(2, far)
 			e.LastResort = true
 			decision, _ = l.Enter(at(start), e)
@@ -85,7 +85,7 @@
 			once := entry(1, far)
 			once.Repeatable = false
 			decision, _ := l.Enter(at(start), once)
-			assert.Equal(t, decision, queue.Busy)
+			assert.Equal(t, decision, queue.Resting)
 			decision, _ = l.Enter(at(start), entry(2, far))
 			assert.Equal(t, decision, queue.Granted)
 			decision, _ = l.Enter(at(start), entry(3, far))
--- a/internal/policy/route/load_test.go
+++ b/internal/policy/route/load_test.go
@@ -216,10 +216,10 @@
 		l.turnNo++
 		return l.turnNo % nodes
 	}
-	s, found := l.pickers[r.ingress].Pick(l.turn(), r.tried)
+	s, found := l.pickers[r.ingress].Pick(l.turn(), r.tried, true)
 	if !found {
 		r.tried = nil
-		s, _ = l.pickers[r.ingress].Pick(l.turn(), nil)
+		s, _ = l.pickers[r.ingress].Pick(l.turn(), nil, true)
 	}
 	var i int
 	_, _ = fmt.Sscan(s.Address, &i)
@@ -251,7 +251,7 @@
 func (l *load) refuse(r *request) {
 	told := l.told(r)
 	l.after(l.distance(r), func() {
-		l.pickers[r.ingress].Refused(l.turn(), fmt.Sprint(r.sidecar), told, 0)
+		l.pickers[r.ingress].Refused(l.turn(), fmt.Sprint(r.sidecar), told, 0, true)
 		l.settle(r, retry.Refused)
 	})
 }
--- a/internal/policy/route/picker.go
+++ b/internal/policy/route/picker.go
@@ -70,6 +70,8 @@
 		failures    int
 		avoidUntil  time.Time
 		refuseUntil time.Time
+		// onceUntil is the same for requests that must not repeat.
+		onceUntil time.Time
 	}
 )
 
@@ -104,10 +106,10 @@
 
 // Pick returns the sidecar for an attempt, none of those tried already. It
 // reports false where no sidecar is left.
-func (p *Picker) Pick(t turn.Turn, tried []string) (Sidecar, bool) {
+func (p *Picker) Pick(t turn.Turn, tried []string, repeatable bool) (Sidecar, bool) {
 	var buffer [16]*sidecar
 	for _, suits := range []func(*sidecar) bool{
-		func(s *sidecar) bool { return s.open(t.Now) && s.Slots > 0 && s.rested(t.Now) },
+		func(s *sidecar) bool { return s.open(t.Now) && s.Slots > 0 && s.rested(t.Now, repeatable) },
 		func(s *sidecar) bool { return s.open(t.Now) },
 		func(s *sidecar) bool { return !s.Leaving },
 		func(*sidecar) bool { return true },
@@ -125,6 +127,26 @@
 	return Sidecar{}, false
 }
 
+// PickRested is Pick among the sidecars that are expected to take an attempt of
+// the kind now. Without one it reports whether there is any, tried or not.
+func (p *Picker) PickRested(t turn.Turn, tried []string, repeatable bool) (s Sidecar, found, any bool) {
+	var buffer [16]*sidecar
+	left := buffer[:0]
+	for _, s := range p.sidecars {
+		if !s.open(t.Now) || s.Slots == 0 || !s.rested(t.Now, repeatable) {
+			continue
+		}
+		any = true
+		if !slices.Contains(tried, s.Address) {
+			left = append(left, s)
+		}
+	}
+	if len(left) == 0 {
+		return Sidecar{}, false, any
+	}
+	return p.choose(t, left).Sidecar, true, true
+}
+
 // Sent notes that an attempt goes to a sidecar.
 func (p *Picker) Sent(address string) {
 	if s := p.find(address); s != nil {
@@ -151,8 +173,9 @@
 }
 
 // Refused notes that an attempt was refused, and that further ones will be
-// for a pause, where the sidecar tells one.
-func (p *Picker) Refused(t turn.Turn, address string, told Told, pause time.Duration) {
+// for a pause, where the sidecar tells one. What a request that must not repeat is
+// refused for need not hold for others.
+func (p *Picker) Refused(t turn.Turn, address string, told Told, pause time.Duration, repeatable bool) {
 	s := p.find(address)
 	if s == nil {
 		return
@@ -160,7 +183,11 @@
 	s.underway = max(0, s.underway-1)
 	s.hear(t, told)
 	s.failures = 0
-	s.refuseUntil = t.Now.Add(max(busyAvoid, pause))
+	if until := t.Now.Add(max(busyAvoid, pause)); repeatable {
+		s.refuseUntil = until
+	} else {
+		s.onceUntil = until
+	}
 }
 
 // Unreachable notes that the path to a sidecar failed or fell silent.
@@ -264,8 +291,8 @@
 	return !s.Leaving && !now.Before(s.avoidUntil)
 }
 
-func (s *sidecar) rested(now time.Time) bool {
-	return !now.Before(s.refuseUntil)
+func (s *sidecar) rested(now time.Time, repeatable bool) bool {
+	return !now.Before(s.refuseUntil) && (repeatable || !now.Before(s.onceUntil))
 }
 
 // Report is one sidecar as the ingress sees it, for a dump.
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -125,7 +125,7 @@
 	}
 	a.observe(refusal.Load, a.x.now())
 	a.x.server.with(a.x.match.Entry.Name, func(t turn.Turn, l *lane) {
-		l.picker.Refused(t, a.sidecar.Address, told(refusal.Load), time.Duration(refusal.PauseMs)*time.Millisecond)
+		l.picker.Refused(t, a.sidecar.Address, told(refusal.Load), time.Duration(refusal.PauseMs)*time.Millisecond, a.x.repeatable)
 	})
 	outcome := retry.Refused
 	if refusal.Arrived {
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -23,9 +23,6 @@
 	openTimeout = time.Second
 	// patience is how long an attempt may be silent before its path is tried.
 	patience = 500 * time.Millisecond
-	// resortTries is how many sidecars are asked before a backend server that is
-	// held to be sick.
-	resortTries = 10
 	// pingTimeout bounds the sign of life that a silent path must give.
 	pingTimeout = time.Second
 )
@@ -134,7 +131,7 @@
 		Headers:       x.headers,
 		ContentLength: x.body.length,
 		LastResort:    x.lastResort(),
-		Direct:        x.plan.Refused() < x.server.config.DirectTries,
+		Direct:        x.direct,
 		Revision:      uint64(x.server.Table().Revision),
 		Level:         x.level(a.sidecar.Address),
 		Origin:        string(x.server.config.Origin),
@@ -155,7 +152,7 @@
 	if x.server.config.DirectTries == 0 {
 		return x.plan.LastTry()
 	}
-	return x.plan.Refused() >= min(resortTries, x.known)
+	return x.resort
 }
 
 func (x *exchange) level(except string) *wire.Level {
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -32,7 +32,7 @@
 	againPause = 10 * time.Millisecond
 	// mostRefused is the most sidecars that are asked for one request, where a
 	// refusal costs no more than a message.
-	mostRefused = 16
+	mostRefused = 10
 	// retrySoon is when a caller that was refused for load may come again.
 	retrySoon = time.Second
 )
@@ -55,8 +55,11 @@
 	tried      []string
 	// succeeded tells that the caller got an answer that is no failure.
 	succeeded bool
-	// known is how many sidecars there are.
-	known int
+	// direct tells that a sidecar without a free slot is to refuse at once.
+	direct bool
+	// resort tells that no sidecar is expected to take the request, so that a
+	// backend server held to be sick may.
+	resort bool
 	// moved tells that the last sidecar has no backend servers any more.
 	moved bool
 	// committed tells that the answer's head has gone to the caller.
@@ -131,6 +134,9 @@
 // next picks the sidecar for the next attempt. Where none is left, or the last
 // one has lost its backend servers, the directory is asked anew.
 func (x *exchange) next(ctx context.Context) (route.Sidecar, bool) {
+	if x.server.config.DirectTries > 0 {
+		return x.nextRested(ctx)
+	}
 	if x.moved {
 		x.server.find(ctx, x.match.Entry.Name)
 	}
@@ -152,6 +158,44 @@
 	return x.pick()
 }
 
+// nextRested looks for a free slot first, then for the best line to wait in, and
+// last for whoever may take the request at all.
+func (x *exchange) nextRested(ctx context.Context) (route.Sidecar, bool) {
+	x.direct = x.direct && x.plan.Refused() < x.server.config.DirectTries
+	for range 2 {
+		sidecar, found, any := x.pickRested()
+		if found {
+			return sidecar, true
+		}
+		if !any {
+			x.resort = true
+			return x.pick()
+		}
+		wasDirect := x.direct
+		x.direct = false
+		x.tried = x.tried[:0]
+		if wasDirect {
+			continue
+		}
+		select {
+		case <-x.server.config.Clock.After(againPause):
+		case <-ctx.Done():
+			return route.Sidecar{}, false
+		}
+	}
+	return x.pick()
+}
+
+func (x *exchange) pickRested() (sidecar route.Sidecar, found, any bool) {
+	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
+		sidecar, found, any = l.picker.PickRested(t, x.tried, x.repeatable)
+	})
+	if found {
+		x.tried = append(x.tried, sidecar.Address)
+	}
+	return sidecar, found, any
+}
+
 // after decides what follows an attempt. The budget is the lane's, so it needs
 // the lane's mutex.
 func (x *exchange) after(o retry.Outcome) retry.Step {
@@ -217,7 +261,7 @@
 	var sidecar route.Sidecar
 	found := false
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
-		sidecar, found = l.picker.Pick(t, x.tried)
+		sidecar, found = l.picker.Pick(t, x.tried, x.repeatable)
 	})
 	if found {
 		x.tried = append(x.tried, sidecar.Address)
@@ -295,7 +339,6 @@
 func (x *exchange) plans() {
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
 		l.used = t.Now
-		x.known = l.picker.Len()
 		l.budget.Earn(x.match.Entry.Retry.BudgetPercent)
 		x.plan = retry.Plan{
 			Repeatable: x.repeatable,
@@ -305,6 +348,7 @@
 		}
 		if x.server.config.DirectTries > 0 {
 			x.plan.MostRefused = mostRefused
+			x.direct = true
 		}
 	})
 }
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -36,6 +36,8 @@
 		desk.Duplicate: wire.Reason_REASON_DUPLICATE,
 		desk.NoBackend: wire.Reason_REASON_NO_BACKEND,
 		desk.Leaving:   wire.Reason_REASON_LEAVING,
+		desk.Hopeless:  wire.Reason_REASON_BUSY,
+		desk.Resting:   wire.Reason_REASON_BUSY,
 	}
 )
 
