queue, route, front: refusals in overload come early and stay off sick servers

Cause: a refusal for want of a slot counted as resting, so that in overload servers held to be sick were asked as a last resort; the estimate of a wait left out that more urgent attempts go ahead, so the less urgent were held to their deadline; hedges waited in lines. Change: pauses apart from short avoidance, waits estimated with the inflow of more urgent attempts and again at each turn, hedges only to free slots.

--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -39,7 +39,7 @@
 	// prior level raises an alarm: two in a row, with the prior's rates.
 	loneThreshold = 4.9
 	// loneLatencyThreshold is the same for latencies: eight slow answers in a row.
-	loneLatencyThreshold = 16.0
+	loneLatencyThreshold = 60.0
 	// wideTrialAfter is when a trial that had no repeatable request takes any.
 	wideTrialAfter = time.Second
 	// loneAgeThreshold is the same for requests without an answer: more than the slots of a
--- a/internal/policy/queue/line.go
+++ b/internal/policy/queue/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -46,6 +47,11 @@
 	// trialShare is how many attempts out of one thousand try a Trial server
 	// while others have room.
 	trialShare = 50
+	// inflowTime is the time over which the rate of attempts is told.
+	inflowTime = 2 * time.Second
+	// leastShare is the least part of the slots that the less urgent are taken
+	// to have, so that an estimate stays finite.
+	leastShare = 0.05
 	// trialWhole is what trialShare is a share of.
 	trialWhole = 1000
 )
@@ -104,6 +110,14 @@
 		servers []*Server
 		waiting []Entry
 		mean    time.Duration
+		// inflow is how many attempts of each priority are taken, per second.
+		inflow map[int]*inflow
+	}
+
+	// inflow is a rate that fades over inflowTime.
+	inflow struct {
+		rate float64
+		at   time.Time
 	}
 
 	// Load sums up a Line.
@@ -147,6 +161,7 @@
 	if len(l.waiting) == 0 || l.place(t, e) == 0 {
 		if s := l.pick(t, e); s != nil {
 			s.Busy++
+			l.flow(t, e.Priority).add(t.Now)
 			return Granted, Grant{Attempt: e.Attempt, Server: s.ID}
 		}
 	}
@@ -164,6 +179,7 @@
 	if l.hopeless(t, e, at, slots) {
 		return Hopeless, Grant{}
 	}
+	l.flow(t, e.Priority).add(t.Now)
 	l.waiting = slices.Insert(l.waiting, at, e)
 	return Waiting, Grant{}
 }
@@ -267,8 +283,41 @@
 // hopeless tells whether an attempt at a place in the line would miss its
 // deadline.
 func (l *Line) hopeless(t turn.Turn, e Entry, at, slots int) bool {
-	rounds := time.Duration(at+1) * l.mean / time.Duration(slots)
-	return t.Now.Add(rounds + l.mean).After(e.Deadline)
+	rounds := float64(at+1) * float64(l.mean) / float64(slots) / l.share(t, e.Priority, slots)
+	return t.Now.Add(time.Duration(rounds) + l.mean).After(e.Deadline)
+}
+
+// share is the part of the slots that is left by more urgent attempts, which go
+// ahead of those that wait already.
+func (l *Line) share(t turn.Turn, priority, slots int) float64 {
+	rate := 0.0
+	for p, f := range l.inflow {
+		if p < priority {
+			rate += f.now(t.Now)
+		}
+	}
+	return max(leastShare, 1-rate*l.mean.Seconds()/float64(slots))
+}
+
+func (l *Line) flow(t turn.Turn, priority int) *inflow {
+	if l.inflow == nil {
+		l.inflow = map[int]*inflow{}
+	}
+	f, known := l.inflow[priority]
+	if !known {
+		f = &inflow{at: t.Now}
+		l.inflow[priority] = f
+	}
+	return f
+}
+
+func (f *inflow) now(now time.Time) float64 {
+	return f.rate * math.Exp(-now.Sub(f.at).Seconds()/inflowTime.Seconds())
+}
+
+func (f *inflow) add(now time.Time) {
+	f.rate = f.now(now) + 1/inflowTime.Seconds()
+	f.at = now
 }
 
 // advance serves the line from its head: first the attempts whose answer can
@@ -281,7 +330,8 @@
 	})
 	kept := l.waiting[:0]
 	for _, e := range l.waiting {
-		if t.Now.Add(l.mean).After(e.Deadline) || l.slotsFor(t, e) == 0 {
+		slots := l.slotsFor(t, e)
+		if slots == 0 || t.Now.Add(l.mean).After(e.Deadline) || len(kept) > 0 && l.hopeless(t, e, len(kept)-1, slots) {
 			out.Refused = append(out.Refused, e.Attempt)
 			continue
 		}
--- a/internal/policy/route/picker.go
+++ b/internal/policy/route/picker.go
@@ -70,8 +70,10 @@
 		failures    int
 		avoidUntil  time.Time
 		refuseUntil time.Time
-		// onceUntil is the same for requests that must not repeat.
-		onceUntil time.Time
+		// pauseUntil is when the sidecar expects to take attempts again, once
+		// that for requests that must not repeat.
+		pauseUntil time.Time
+		onceUntil  time.Time
 	}
 )
 
@@ -127,13 +129,13 @@
 	return Sidecar{}, false
 }
 
-// PickRested is Pick among the sidecars that are expected to take an attempt of
-// the kind now. Without one it reports whether there is any, tried or not.
-func (p *Picker) PickRested(t turn.Turn, tried []string, repeatable bool) (s Sidecar, found, any bool) {
+// PickWilling is Pick among the sidecars that are expected to take an attempt of
+// the kind, if need be after a wait in line. Without one it reports whether there is any, tried or not.
+func (p *Picker) PickWilling(t turn.Turn, tried []string, repeatable bool) (s Sidecar, found, any bool) {
 	var buffer [16]*sidecar
 	left := buffer[:0]
 	for _, s := range p.sidecars {
-		if !s.open(t.Now) || s.Slots == 0 || !s.rested(t.Now, repeatable) {
+		if !s.open(t.Now) || s.Slots == 0 || !s.willing(t.Now, repeatable) {
 			continue
 		}
 		any = true
@@ -183,10 +185,13 @@
 	s.underway = max(0, s.underway-1)
 	s.hear(t, told)
 	s.failures = 0
-	if until := t.Now.Add(max(busyAvoid, pause)); repeatable {
-		s.refuseUntil = until
-	} else {
-		s.onceUntil = until
+	s.refuseUntil = t.Now.Add(busyAvoid)
+	if pause <= 0 {
+		return
+	}
+	s.onceUntil = t.Now.Add(pause)
+	if repeatable {
+		s.pauseUntil = s.onceUntil
 	}
 }
 
@@ -292,7 +297,13 @@
 }
 
 func (s *sidecar) rested(now time.Time, repeatable bool) bool {
-	return !now.Before(s.refuseUntil) && (repeatable || !now.Before(s.onceUntil))
+	return !now.Before(s.refuseUntil) && s.willing(now, repeatable)
+}
+
+// willing tells whether the sidecar is expected to take attempts of a kind, now
+// or from a line.
+func (s *sidecar) willing(now time.Time, repeatable bool) bool {
+	return !now.Before(s.pauseUntil) && (repeatable || !now.Before(s.onceUntil))
 }
 
 // Report is one sidecar as the ingress sees it, for a dump.
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -52,6 +52,8 @@
 		started chan struct{}
 		begun   bool
 		reply   *answer
+		// direct tells that the sidecar is to refuse rather than let it wait.
+		direct bool
 		// headed tells that the head of an answer has come.
 		headed atomic.Bool
 		sent   time.Time
@@ -59,7 +61,7 @@
 )
 
 // attempt makes one attempt at a sidecar.
-func (x *exchange) attempt(ctx context.Context, sidecar route.Sidecar) result {
+func (x *exchange) attempt(ctx context.Context, sidecar route.Sidecar, direct bool) result {
 	name := x.match.Entry.Name
 	x.server.with(name, func(_ turn.Turn, l *lane) { l.picker.Sent(sidecar.Address) })
 	a, err := x.open(ctx, sidecar)
@@ -67,6 +69,7 @@
 		x.server.with(name, func(t turn.Turn, l *lane) { l.picker.Unreachable(t, sidecar.Address) })
 		return a.failed(retry.Unreached, "connect", err)
 	}
+	a.direct = direct
 	x.race.enter(a)
 	defer x.race.leave(a)
 	defer a.cancel(nil)
@@ -131,7 +134,7 @@
 		Headers:       x.headers,
 		ContentLength: x.body.length,
 		LastResort:    x.lastResort(),
-		Direct:        x.direct,
+		Direct:        a.direct,
 		Revision:      uint64(x.server.Table().Revision),
 		Level:         x.level(a.sidecar.Address),
 		Origin:        string(x.server.config.Origin),
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -32,7 +32,7 @@
 	againPause = 10 * time.Millisecond
 	// mostRefused is the most sidecars that are asked for one request, where a
 	// refusal costs no more than a message.
-	mostRefused = 10
+	mostRefused = 6
 	// retrySoon is when a caller that was refused for load may come again.
 	retrySoon = time.Second
 )
@@ -128,14 +128,14 @@
 	if x.mayHedge() {
 		return x.hedged(ctx, sidecar)
 	}
-	return x.attempt(ctx, sidecar)
+	return x.attempt(ctx, sidecar, x.direct)
 }
 
 // next picks the sidecar for the next attempt. Where none is left, or the last
 // one has lost its backend servers, the directory is asked anew.
 func (x *exchange) next(ctx context.Context) (route.Sidecar, bool) {
 	if x.server.config.DirectTries > 0 {
-		return x.nextRested(ctx)
+		return x.nextWilling(ctx)
 	}
 	if x.moved {
 		x.server.find(ctx, x.match.Entry.Name)
@@ -158,12 +158,12 @@
 	return x.pick()
 }
 
-// nextRested looks for a free slot first, then for the best line to wait in, and
+// nextWilling looks for a free slot first, then for the best line to wait in, and
 // last for whoever may take the request at all.
-func (x *exchange) nextRested(ctx context.Context) (route.Sidecar, bool) {
+func (x *exchange) nextWilling(ctx context.Context) (route.Sidecar, bool) {
 	x.direct = x.direct && x.plan.Refused() < x.server.config.DirectTries
 	for range 2 {
-		sidecar, found, any := x.pickRested()
+		sidecar, found, any := x.pickWilling()
 		if found {
 			return sidecar, true
 		}
@@ -186,9 +186,9 @@
 	return x.pick()
 }
 
-func (x *exchange) pickRested() (sidecar route.Sidecar, found, any bool) {
+func (x *exchange) pickWilling() (sidecar route.Sidecar, found, any bool) {
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
-		sidecar, found, any = l.picker.PickRested(t, x.tried, x.repeatable)
+		sidecar, found, any = l.picker.PickWilling(t, x.tried, x.repeatable)
 	})
 	if found {
 		x.tried = append(x.tried, sidecar.Address)
--- a/internal/proxy/front/hedge.go
+++ b/internal/proxy/front/hedge.go
@@ -77,7 +77,7 @@
 // answer after the service's hedge time and the budget allows it.
 func (x *exchange) hedged(ctx context.Context, sidecar route.Sidecar) result {
 	ends := make(chan finished, 2)
-	go x.runner(ctx, sidecar, ends)
+	go x.runner(ctx, sidecar, x.direct, ends)
 	running := 1
 	select {
 	case end := <-ends:
@@ -86,7 +86,8 @@
 	}
 	if second, found := x.second(); found {
 		x.server.config.Meter.Hedges.Inc(1)
-		go x.runner(ctx, second, ends)
+		// A line would be no quicker than the first attempt.
+		go x.runner(ctx, second, true, ends)
 		running++
 	}
 	var r result
@@ -105,13 +106,13 @@
 	return r
 }
 
-func (x *exchange) runner(ctx context.Context, sidecar route.Sidecar, ends chan<- finished) {
+func (x *exchange) runner(ctx context.Context, sidecar route.Sidecar, direct bool, ends chan<- finished) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			ends <- finished{cause: cause}
 		}
 	}()
-	ends <- finished{result: x.attempt(ctx, sidecar)}
+	ends <- finished{result: x.attempt(ctx, sidecar, direct)}
 }
 
 func (x *exchange) conclude(end finished) result {
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -96,6 +96,9 @@
 		return health.Shed
 	case r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(retryAfter) != "":
 		return health.Shed
+	case r.StatusCode == http.StatusGatewayTimeout:
+		// The deadline may have been short before the request got its slot.
+		return health.Hung
 	case r.StatusCode == http.StatusNotImplemented, r.StatusCode < http.StatusInternalServerError:
 		return health.OK
 	default:
