--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -74,6 +74,9 @@
 		writer  *bufio.Writer
 		// written counts the bytes of the present request.
 		written int64
+		// refused tells that the connection took no more bytes; an answer may
+		// be there all the same.
+		refused bool
 		keep    time.Duration
 		since   time.Time
 	}
@@ -216,6 +219,10 @@
 		if err == nil {
 			err = c.writer.Flush()
 		}
+		if err != nil && !c.refused {
+			// The body broke off, so no answer is to be waited for.
+			_ = c.Close()
+		}
 		sent <- err
 	}
 	if r.Body == nil || r.Body == http.NoBody {
@@ -377,5 +384,6 @@
 func (w writes) Write(p []byte) (int, error) {
 	n, err := w.conn.Conn.Write(p)
 	w.conn.written += int64(n)
+	w.conn.refused = w.conn.refused || err != nil
 	return n, err
 }
