--- a/internal/proxy/front/problem.go
+++ b/internal/proxy/front/problem.go
@@ -51,13 +51,16 @@
 func (x *exchange) notRun(t trouble) {
 	x.forget()
 	x.server.config.Meter.NotRun.Inc(1)
+	events.Emit(x.server.config.Log, events.RequestRefused, "request", x.ask.ID, "service", x.service(),
+		"status", t.status, "step", t.step, "peer", t.peer, "detail", t.detail, "attempts", x.plan.Attempts(),
+		"waited", x.now().Sub(x.arrived).String(), "repeatable", x.repeatable)
 	x.problem(NotRun, t)
 }
 
 // unknown answers that the request may have been run.
 func (x *exchange) unknown(step, peer, detail string) {
 	x.server.config.Meter.Unknown.Inc(1)
-	events.Emit(x.server.config.Log, events.OutcomeUnknown,
+	events.Emit(x.server.config.Log, events.OutcomeUnknown, "request", x.ask.ID, "service", x.service(),
 		"step", step, "peer", peer, "detail", detail, "method", x.request.Method, "host", x.request.Host)
 	status := http.StatusBadGateway
 	if !x.server.config.Clock.Now().Before(x.deadline) && !x.deadline.IsZero() {
@@ -69,6 +72,14 @@
 	x.problem(Unknown, trouble{status: status, step: step, peer: peer, detail: detail})
 }
 
+// service is the one that the request was routed to; empty is none.
+func (x *exchange) service() string {
+	if x.match.Entry == nil {
+		return ""
+	}
+	return string(x.match.Entry.Name)
+}
+
 func (x *exchange) problem(outcome string, t trouble) {
 	body, err := json.Marshal(Problem{
 		Type:    "about:blank",
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -100,11 +100,12 @@
 	ctx, done := context.WithTimeout(ctx, n.config.DrainTimeout)
 	defer done()
 	n.state.Store(phaseHandingOver)
-	n.fleet.leave(ctx, false)
 	if n.config.Listed {
 		n.linger(ctx)
-	} else {
-		n.callers.SetKeepAlivesEnabled(false)
+	}
+	n.fleet.leave(ctx, false)
+	n.callers.SetKeepAlivesEnabled(false)
+	if !n.config.Listed {
 		n.handOver(ctx)
 	}
 	n.state.Store(phaseDraining)
@@ -128,18 +129,13 @@
 	events.Emit(n.log, events.NodeStopped, "node", string(n.config.ID))
 }
 
-// linger goes on taking callers' requests until callers have heard that the node
-// is not ready. The backend server beside it gets nothing new.
+// linger goes on working until callers have heard that the node is not ready, the
+// backend server beside it included: it may go on after the node.
 func (n *Node) linger(ctx context.Context) {
-	n.side.Do(func(_ turn.Turn, d *desk.Desk) desk.Ops {
-		d.Drain()
-		return desk.Ops{}
-	})
 	select {
 	case <-n.config.Clock.After(n.config.Linger):
 	case <-ctx.Done():
 	}
-	n.callers.SetKeepAlivesEnabled(false)
 }
 
 // handOver waits until the backend servers have announced themselves to other
@@ -173,11 +169,19 @@
 	if !n.idle() {
 		n.busyAt.Store(now.UnixNano())
 	}
-	return now.Sub(time.Unix(0, n.busyAt.Load())) >= quietTime
+	quiet := quietTime
+	if n.config.Listed {
+		quiet = shortQuietTime
+	}
+	return now.Sub(time.Unix(0, n.busyAt.Load())) >= quiet
 }
 
-// quietTime covers a message's way to the slowest ingress.
-const quietTime = time.Second
+const (
+	// quietTime covers a message's way to the slowest ingress.
+	quietTime = time.Second
+	// shortQuietTime is the same within one region.
+	shortQuietTime = 300 * time.Millisecond
+)
 
 // until waits for a condition and reports whether it came before the context
 // ended.
--- a/internal/proxy/node/sourced.go
+++ b/internal/proxy/node/sourced.go
@@ -19,9 +19,8 @@
 	// what it misses from a poller.
 	sourcedWait = 8 * time.Second
 	// pollWait is the same at the pollers. A watch that the store has dropped
-	// looks like one without news, so it must be short against the two seconds
-	// in which a configuration is to be in force.
-	pollWait = 800 * time.Millisecond
+	// looks like one without news, so this bounds how late news may come then.
+	pollWait = 2 * time.Second
 	// pollersPerZone is how many nodes of each availability zone poll.
 	pollersPerZone = 2
 	// isolatedAfter is how long a node without word from others goes on before
