member, node, front: a replaced machine's record goes, stops do not wait for idle connections

Cause: of two nodes at one address the gone one stayed alive by the other's answers, so its service was asked for there; a stop waited for connections that never brought a request until its bound (incident inc-a3ea: two processes killed at the end of the grace); answers at the deadline came after it; a node that had just started refused what it could have served a moment later. Change: the younger node at an address supersedes the older; what is in flight decides a stop; 15 ms are left of a caller's time; a request waits up to a second for a sidecar to be known.

--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -30,6 +30,9 @@
 
 	// againPause is the wait before the same sidecars are tried again.
 	againPause = 10 * time.Millisecond
+	// mostUnknown is how long a request waits for a sidecar to be known, since
+	// an ingress that has just started hears of them soon.
+	mostUnknown = time.Second
 	// mostRefused is the most sidecars that are asked for one request, where a
 	// refusal costs no more than a message.
 	mostRefused = 6
@@ -169,7 +172,7 @@
 		}
 		if !any {
 			x.resort = true
-			return x.pick()
+			return x.pickAny(ctx)
 		}
 		wasDirect := x.direct
 		x.direct = false
@@ -186,6 +189,21 @@
 	return x.pick()
 }
 
+// pickAny picks from all sidecars, and waits a moment for one to be known.
+func (x *exchange) pickAny(ctx context.Context) (route.Sidecar, bool) {
+	until := x.arrived.Add(min(mostUnknown, x.deadline.Sub(x.arrived)/2))
+	for {
+		if sidecar, found := x.pick(); found || len(x.tried) > 0 || !x.now().Before(until) {
+			return sidecar, found
+		}
+		select {
+		case <-x.server.config.Clock.After(againPause):
+		case <-ctx.Done():
+			return route.Sidecar{}, false
+		}
+	}
+}
+
 func (x *exchange) pickWilling() (sidecar route.Sidecar, found, any bool) {
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
 		sidecar, found, any = l.picker.PickWilling(t, x.tried, x.repeatable)
@@ -328,7 +346,7 @@
 	x.repeatable = x.match.Repeatable && !ask.Once
 	timeout := x.match.Deadline
 	if ask.Timeout > 0 {
-		timeout = min(timeout, ask.Timeout)
+		timeout = min(timeout, max(ask.Timeout-x.server.config.Margin, ask.Timeout/2))
 	}
 	x.deadline = x.arrived.Add(timeout)
 	x.headers = x.forwarded()
--- a/internal/proxy/front/server.go
+++ b/internal/proxy/front/server.go
@@ -68,6 +68,8 @@
 		// DirectTries is how many sidecars are asked for a free slot before one
 		// is asked to let the request wait.
 		DirectTries int
+		// Margin is left of a caller's own time for the answer's way back.
+		Margin time.Duration
 		// OwnCalls is told of requests of the backend server beside this ingress
 		// that failed; nil is not told.
 		OwnCalls func()
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -116,7 +116,9 @@
 	if !n.config.Listed {
 		n.directory.tick(ctx)
 	}
-	_ = n.callers.Shutdown(ctx)
+	// A connection that never brought a request must not hold up the stop, so
+	// what is in flight decides, not the connections.
+	go func() { _ = n.callers.Shutdown(ctx) }()
 	cut := !n.until(ctx, n.quiet)
 	if !n.config.Listed {
 		n.books.settle(ctx)
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -120,6 +120,8 @@
 		// speak; nil is the project's own way.
 		CallerSpeech front.Dialect
 		ServerSpeech side.Dialect
+		// Margin is left of a caller's own time for the answer's way back.
+		Margin time.Duration
 		// DirectTries and Path are the ingress's.
 		DirectTries int
 		Path        front.Path
@@ -213,6 +215,7 @@
 
 		Dialect:     c.CallerSpeech,
 		Origin:      c.Origin,
+		Margin:      c.Margin,
 		OwnCalls:    n.side.Excuse,
 		OwnHost:     hostOf(c.Address),
 		Path:        c.Path,
--- a/internal/state/member/member_test.go
+++ b/internal/state/member/member_test.go
@@ -341,3 +341,21 @@
 	}
 	return float64(f.bytes) / length.Seconds() / float64(len(f.groups))
 }
+
+// TestYoungerNodeTakesTheAddress: a machine that is replaced at its address does
+// not stay alive by the answers of the one that came in its place.
+func TestYoungerNodeTakesTheAddress(t *testing.T) {
+	g := member.New(member.Config{Self: member.Record{ID: "self", Address: "10.0.0.1:1", Zone: "a", Incarnation: 1}})
+	now := time.Now()
+	older := member.Record{ID: "old", Address: "10.0.0.2:1", Zone: "a", Incarnation: 5}
+	younger := member.Record{ID: "new", Address: "10.0.0.2:1", Zone: "a", Incarnation: 9}
+	g.Introduce(now, []member.Record{older})
+	g.Introduce(now, []member.Record{younger})
+	_, state, _ := g.Find("old")
+	assert.Equal(t, state, member.Dead)
+	g.Introduce(now, []member.Record{older})
+	_, state, _ = g.Find("old")
+	assert.Equal(t, state, member.Dead)
+	_, state, _ = g.Find("new")
+	assert.Equal(t, state, member.Alive)
+}
--- a/internal/state/member/merge.go
+++ b/internal/state/member/merge.go
@@ -30,7 +30,7 @@
 	e, known := g.entries[r.ID]
 	switch {
 	case !known:
-		if r.Gone || len(r.Accusers) > 0 {
+		if r.Gone || len(r.Accusers) > 0 || g.superseded(r) {
 			return
 		}
 		e = &entry{Record: *r, since: now}
@@ -50,6 +50,33 @@
 		return
 	}
 	g.touch(now, e, from)
+	if !e.Gone {
+		g.supersede(now, e)
+	}
+}
+
+// superseded tells whether a younger node is known at a record's address.
+func (g *Group) superseded(r *Record) bool {
+	for _, e := range g.entries {
+		if e.ID != r.ID && e.Address == r.Address && e.Incarnation > r.Incarnation && !e.Gone {
+			return true
+		}
+	}
+	return false
+}
+
+// supersede gives up the older nodes at the address of a younger one, which
+// answers there in their place.
+func (g *Group) supersede(now time.Time, younger *entry) {
+	for _, e := range g.entries {
+		if e.ID == younger.ID || e.Address != younger.Address || e.ID == g.self || e.Gone {
+			continue
+		}
+		if e.Incarnation < younger.Incarnation {
+			e.Gone = true
+			g.touch(now, e, "")
+		}
+	}
 }
 
 // refute answers word about this node that is not its own.
