--- a/internal/proxy/front/fence.go
+++ b/internal/proxy/front/fence.go
@@ -23,7 +23,9 @@
 // settle finds out what became of an attempt whose answer is lost: directly,
 // then through other nodes.
 func (a *attempt) settle(ctx context.Context, lost result) result {
-	ctx = context.WithoutCancel(ctx)
+	// The caller is told at its deadline, whatever is known by then.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.x.deadline.Sub(a.x.now()))
+	defer cancel()
 	ways := append([]string{""}, a.x.server.config.Relays.Relays(a.sidecar.Address, fenceRelays)...)
 	for _, relay := range ways {
 		a.x.server.config.Meter.Fences.Inc(1)
