member: a node that is back while the store is away is greeted

Change: one of the lately gone is tried each half second for 20 s; the first message to a stranger holds the own record.

--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -23,6 +23,11 @@
 	// reviveEvery is how often one dead node is tried again, so that the halves
 	// of a split fleet find each other.
 	reviveEvery = 5 * time.Second
+	// returnEvery is how often one node that has just left or died is tried
+	// again, since it may be back without knowing anybody.
+	returnEvery = 500 * time.Millisecond
+	// returnWithin is how long that goes on.
+	returnWithin = 20 * time.Second
 	// deadKeep is how long a dead node is remembered.
 	deadKeep = 2 * time.Hour
 	// differTimes is how many exchanges in a row with different digests make a
@@ -92,6 +97,7 @@
 		budget   float64
 		filled   time.Time
 		reviveAt time.Time
+		returnAt time.Time
 		seed     int
 
 		// live caches what depends on the set of live nodes.
@@ -158,7 +164,8 @@
 		p.nextAt = t.Now.Add(Interval)
 		exchanges = append(exchanges, g.exchange(id, g.entries[id].Address))
 	}
-	return append(exchanges, g.revive(t)...)
+	exchanges = append(exchanges, g.revive(t)...)
+	return append(exchanges, g.greet(t)...)
 }
 
 // Hurry starts exchanges with all neighbours at once, for news that should not
@@ -368,7 +375,7 @@
 	p.sent = p.acked
 	var fresh []*entry
 	for _, e := range g.entries {
-		if e.changed > p.acked && e.from != to {
+		if e.changed > p.acked && (to == "" || e.from != to) {
 			fresh = append(fresh, e)
 		}
 	}
--- a/internal/state/member/member_test.go
+++ b/internal/state/member/member_test.go
@@ -359,3 +359,26 @@
 	_, state, _ = g.Find("new")
 	assert.Equal(t, state, member.Alive)
 }
+
+// TestReturnedNodeIsGreeted: a node that has left is tried again for a while, so
+// that it hears of the fleet when it is back without the store.
+func TestReturnedNodeIsGreeted(t *testing.T) {
+	g := member.New(member.Config{Self: member.Record{ID: "self", Address: "10.0.0.1:1", Zone: "a", Incarnation: 1}})
+	now := time.Unix(1000, 0)
+	g.Introduce(now, []member.Record{{ID: "left", Address: "10.0.0.2:1", Zone: "a", Incarnation: 5}})
+	g.Introduce(now, []member.Record{{ID: "left", Address: "10.0.0.2:1", Zone: "a", Incarnation: 5, Gone: true}})
+	tries := func(from, to time.Duration) int {
+		n := 0
+		for at := from; at < to; at += 100 * time.Millisecond {
+			for _, e := range g.Tick(turn.Turn{Now: now.Add(at), Random: turn.Seeded(1)}) {
+				if e.Address == "10.0.0.2:1" {
+					n++
+					assert.Equal(t, len(e.Message.Records) > 0, true)
+				}
+			}
+		}
+		return n
+	}
+	assert.Check(t, tries(0, 2*time.Second) >= 3)
+	assert.Equal(t, tries(time.Minute, 2*time.Minute), 0)
+}
--- a/internal/state/member/merge.go
+++ b/internal/state/member/merge.go
@@ -250,6 +250,27 @@
 	return exchanges
 }
 
+// greet tries one of the nodes that have just left or died, so that one that is
+// back while the store is away hears of the fleet.
+func (g *Group) greet(t turn.Turn) []Exchange {
+	if t.Now.Before(g.returnAt) {
+		return nil
+	}
+	g.returnAt = t.Now.Add(returnEvery)
+	var lately []*entry
+	for _, e := range g.entries {
+		if e.state == Dead && t.Now.Sub(e.since) < returnWithin && !g.knows(e.Address) {
+			lately = append(lately, e)
+		}
+	}
+	if len(lately) == 0 {
+		return nil
+	}
+	slices.SortFunc(lately, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
+	e := lately[t.Random.IntN(len(lately))]
+	return []Exchange{{Address: e.Address, Message: g.message(&peer{}, "")}}
+}
+
 // knows reports whether a live node has an address.
 func (g *Group) knows(address string) bool {
 	for _, e := range g.entries {
