--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -375,7 +375,7 @@
 	p.sent = p.acked
 	var fresh []*entry
 	for _, e := range g.entries {
-		if e.changed > p.acked && (to == "" || e.from != to) {
+		if e.changed > p.acked && e.from != to {
 			fresh = append(fresh, e)
 		}
 	}
--- a/internal/state/member/merge.go
+++ b/internal/state/member/merge.go
@@ -268,7 +268,10 @@
 	}
 	slices.SortFunc(lately, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
 	e := lately[t.Random.IntN(len(lately))]
-	return []Exchange{{Address: e.Address, Message: g.message(&peer{}, "")}}
+	own := g.entries[g.self].Record
+	return []Exchange{{Address: e.Address, Message: Message{
+		From: g.self, Revision: g.inForce, Digest: g.digest, Records: []Record{own},
+	}}}
 }
 
 // knows reports whether a live node has an address.
