node: fewer store calls, one poller a zone and a rest after news

Change: 0.7 s of rest after news, one poller a zone, watches of 25 s that end when the node is to poll.

--- a/internal/proxy/node/sourced.go
+++ b/internal/proxy/node/sourced.go
@@ -17,23 +17,27 @@
 const (
 	// sourcedWait is the longest wait of one watch at most nodes: they hear of
 	// what it misses from a poller.
-	sourcedWait = 8 * time.Second
+	sourcedWait = 25 * time.Second
 	// pollWait is the same at the pollers. A watch that the store has dropped
 	// looks like one without news, so this bounds how late news may come then.
 	pollWait = 2 * time.Second
-	// pollersPerZone is how many nodes of each availability zone poll.
-	pollersPerZone = 2
+	// pollersPerZone is how many nodes of each availability zone poll; those of
+	// other zones stand in for one that does not reach the store.
+	pollersPerZone = 1
+	// pollerBeat is how often a node with a long watch looks whether it is to
+	// poll.
+	pollerBeat = time.Second
 	// isolatedAfter is how long a node without word from others goes on before
 	// it polls for itself: two exchanges.
 	isolatedAfter = 2 * time.Second
 	// sourcedPause is the wait after a watch that failed.
 	sourcedPause = 500 * time.Millisecond
 	// sourcedRest is the wait after news, so that configurations in quick
-	// succession cost few calls; the deployments allow two seconds.
-	sourcedRest = 200 * time.Millisecond
+	// succession cost few calls; two seconds are allowed until one is in force.
+	sourcedRest = 700 * time.Millisecond
 	// followRest is the wait before a peer is asked, which the store's own word
 	// usually makes needless.
-	followRest = 100 * time.Millisecond
+	followRest = 400 * time.Millisecond
 )
 
 // sourced keeps the node at the newest configuration of its Source, from the
@@ -71,11 +75,29 @@
 			return item, err
 		}
 	}
-	wait := sourcedWait
 	if s.poller() {
-		wait = pollWait
+		return s.store.Watch(ctx, key, store.Wait{After: version, For: pollWait})
 	}
-	return s.store.Watch(ctx, key, store.Wait{After: version, For: wait})
+	watching, done := context.WithCancel(ctx)
+	defer done()
+	go s.untilPoller(watching, done)
+	item, err := s.store.Watch(watching, key, store.Wait{After: version, For: sourcedWait})
+	if err != nil && watching.Err() != nil && ctx.Err() == nil {
+		return item, store.ErrUnchanged
+	}
+	return item, err
+}
+
+// untilPoller ends a long watch when this node is to poll.
+func (s *sourced) untilPoller(ctx context.Context, done func()) {
+	for !s.poller() {
+		select {
+		case <-s.node.config.Clock.After(pollerBeat):
+		case <-ctx.Done():
+			return
+		}
+	}
+	done()
 }
 
 // poller tells whether this node watches with short waits: a few of each zone do,
