--- a/cmd/figwick/platform.go
+++ b/cmd/figwick/platform.go
@@ -31,7 +31,7 @@
 				return coded(codeUsage, err)
 			}
 			out := logs.NewWriter(os.Stdout, logs.Config{Clock: clockwork.NewRealClock()})
-			defer out.Close()
+			defer func() { _ = out.Close() }()
 			log := hclog.New(&hclog.LoggerOptions{
 				Name: "figwick", Level: hclog.LevelFromString(level), JSONFormat: true, Output: out,
 			})
--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -149,8 +149,8 @@
 
 	standing struct {
 		roster.Announcement
-		allowed   bool
-		removed   bool
+		allowed bool
+		removed bool
 		// trialFor is how long the server has been on trial.
 		trialFor  time.Duration
 		coldSince time.Time
--- a/internal/policy/route/picker.go
+++ b/internal/policy/route/picker.go
@@ -131,20 +131,20 @@
 
 // PickWilling is Pick among the sidecars that are expected to take an attempt of
 // the kind, if need be after a wait in line. Without one it reports whether there is any, tried or not.
-func (p *Picker) PickWilling(t turn.Turn, tried []string, repeatable bool) (s Sidecar, found, any bool) {
+func (p *Picker) PickWilling(t turn.Turn, tried []string, repeatable bool) (s Sidecar, found, willing bool) {
 	var buffer [16]*sidecar
 	left := buffer[:0]
 	for _, s := range p.sidecars {
 		if !s.open(t.Now) || s.Slots == 0 || !s.willing(t.Now, repeatable) {
 			continue
 		}
-		any = true
+		willing = true
 		if !slices.Contains(tried, s.Address) {
 			left = append(left, s)
 		}
 	}
 	if len(left) == 0 {
-		return Sidecar{}, false, any
+		return Sidecar{}, false, willing
 	}
 	return p.choose(t, left).Sidecar, true, true
 }
--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -382,7 +382,7 @@
 
 // Write writes to the connection.
 func (w writes) Write(p []byte) (int, error) {
-	n, err := w.conn.Conn.Write(p)
+	n, err := w.conn.Write(p)
 	w.conn.written += int64(n)
 	w.conn.refused = w.conn.refused || err != nil
 	return n, err
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -166,11 +166,11 @@
 func (x *exchange) nextWilling(ctx context.Context) (route.Sidecar, bool) {
 	x.direct = x.direct && x.plan.Refused() < x.server.config.DirectTries
 	for range 2 {
-		sidecar, found, any := x.pickWilling()
+		sidecar, found, willing := x.pickWilling()
 		if found {
 			return sidecar, true
 		}
-		if !any {
+		if !willing {
 			x.resort = true
 			return x.pickAny(ctx)
 		}
@@ -204,14 +204,14 @@
 	}
 }
 
-func (x *exchange) pickWilling() (sidecar route.Sidecar, found, any bool) {
+func (x *exchange) pickWilling() (sidecar route.Sidecar, found, willing bool) {
 	x.server.with(x.match.Entry.Name, func(t turn.Turn, l *lane) {
-		sidecar, found, any = l.picker.PickWilling(t, x.tried, x.repeatable)
+		sidecar, found, willing = l.picker.PickWilling(t, x.tried, x.repeatable)
 	})
 	if found {
 		x.tried = append(x.tried, sidecar.Address)
 	}
-	return sidecar, found, any
+	return sidecar, found, willing
 }
 
 // after decides what follows an attempt. The budget is the lane's, so it needs
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -147,11 +147,11 @@
 		callers   *http.Server
 		relayed   atomic.Int64
 		// busyAt is when work was last seen, in nanoseconds.
-		busyAt    atomic.Int64
-		state     atomic.Int32
-		stopping  chan struct{}
-		stopOnce  sync.Once
-		aborting  chan struct{}
+		busyAt   atomic.Int64
+		state    atomic.Int32
+		stopping chan struct{}
+		stopOnce sync.Once
+		aborting chan struct{}
 		// retryBase is the second sends that the fleet may save up for each
 		// service, as float64 bits.
 		retryBase atomic.Uint64
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -128,14 +128,10 @@
 // Announce takes a checked announcement.
 func (r *Roster) Announce(now time.Time, a Announcement) (Change, error) {
 	e, known := r.servers[a.ID]
-	if known && a.Incarnation < e.Incarnation {
-		return Change{}, errors.Wrapf(ErrStale, "incarnation %d, known is %d", a.Incarnation, e.Incarnation)
-	}
-	if known && e.gone && a.Incarnation == e.Incarnation && e.State == Draining {
-		return Change{}, errors.Wrapf(ErrStale, "incarnation %d has left", a.Incarnation)
-	}
-	if known && a.Incarnation == e.Incarnation && a.Sequence > 0 && a.Sequence <= e.Sequence {
-		return Change{}, errors.Wrapf(ErrStale, "sequence %d, known is %d", a.Sequence, e.Sequence)
+	if known {
+		if err := e.stale(&a); err != nil {
+			return Change{}, err
+		}
 	}
 	if !known && len(r.servers) >= maxServers {
 		return Change{}, errors.Wrapf(ErrFull, "%d are known", len(r.servers))
@@ -152,6 +148,22 @@
 	return change, nil
 }
 
+// stale tells why an announcement is older than what is known.
+func (e *entry) stale(a *Announcement) error {
+	switch {
+	case a.Incarnation < e.Incarnation:
+		return errors.Wrapf(ErrStale, "incarnation %d, known is %d", a.Incarnation, e.Incarnation)
+	case a.Incarnation > e.Incarnation:
+		return nil
+	case e.gone && e.State == Draining:
+		return errors.Wrapf(ErrStale, "incarnation %d has left", a.Incarnation)
+	case a.Sequence > 0 && a.Sequence <= e.Sequence:
+		return errors.Wrapf(ErrStale, "sequence %d, known is %d", a.Sequence, e.Sequence)
+	default:
+		return nil
+	}
+}
+
 // Supersede forgets the older servers at the address of one that announces
 // itself, or refuses it where a younger one is known there. It does nothing for
 // a server that does not say when it started.
