back: a writer that is a moment behind the answer does not cost the connection

Cause: the connection was given up where the goroutine that wrote the body had not yet said so; TestAConnectionIsKept failed once beside load (2 connections for 5 requests). Change: up to 20 ms for its word.

--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -31,6 +31,9 @@
 	// mostIdle bounds the connections kept for one backend server.
 	mostIdle    = 64
 	bufferBytes = 4 << 10
+	// sentGrace is how long a writer that has nothing more to write may take to
+	// say so, in real time: it is a matter of scheduling.
+	sentGrace = 20 * time.Millisecond
 	// mostForeign bounds the answers of other requests that are skipped.
 	mostForeign = 4
 )
@@ -346,12 +349,14 @@
 }
 
 // wholeSent tells whether the request has gone whole; what is left of it would
-// be taken for the next request.
+// be taken for the next request. The writer may be a moment behind the answer.
 func (b *body) wholeSent() bool {
+	timer := time.NewTimer(sentGrace)
+	defer timer.Stop()
 	select {
 	case err := <-b.sent:
 		return err == nil
-	default:
+	case <-timer.C:
 		return false
 	}
 }
