queue: the rate of a young inflow is corrected for what it has not counted yet

Cause: in the first seconds of an overload the less urgent were let into a line that more urgent work fills, and held 0.77 s before they were refused (TestUrgentOverload, which failed first). Change: the rate is divided by the part of its time that has passed.

--- a/internal/policy/queue/line.go
+++ b/internal/policy/queue/line.go
@@ -49,6 +49,8 @@
 	trialShare = 50
 	// inflowTime is the time over which the rate of attempts is told.
 	inflowTime = 2 * time.Second
+	// leastCounted bounds the correction of a young rate.
+	leastCounted = 0.1
 	// leastShare is the least part of the slots that the less urgent are taken
 	// to have, so that an estimate stays finite.
 	leastShare = 0.05
@@ -116,8 +118,10 @@
 
 	// inflow is a rate that fades over inflowTime.
 	inflow struct {
-		rate float64
-		at   time.Time
+		since time.Time
+		at    time.Time
+		// faded is the rate as far as it is counted since then.
+		faded float64
 	}
 
 	// Load sums up a Line.
@@ -305,18 +309,24 @@
 	}
 	f, known := l.inflow[priority]
 	if !known {
-		f = &inflow{at: t.Now}
+		f = &inflow{since: t.Now, at: t.Now}
 		l.inflow[priority] = f
 	}
 	return f
 }
 
+// now is the rate, of which a young inflow has counted a part only.
 func (f *inflow) now(now time.Time) float64 {
-	return f.rate * math.Exp(-now.Sub(f.at).Seconds()/inflowTime.Seconds())
+	counted := 1 - math.Exp(-now.Sub(f.since).Seconds()/inflowTime.Seconds())
+	return f.fade(now) / max(leastCounted, counted)
+}
+
+func (f *inflow) fade(now time.Time) float64 {
+	return f.faded * math.Exp(-now.Sub(f.at).Seconds()/inflowTime.Seconds())
 }
 
 func (f *inflow) add(now time.Time) {
-	f.rate = f.now(now) + 1/inflowTime.Seconds()
+	f.faded = f.fade(now) + 1/inflowTime.Seconds()
 	f.at = now
 }
 
--- /dev/null
+++ b/internal/policy/queue/pattern_test.go
@@ -0,0 +1,140 @@
+package queue_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/turn"
+	"github.com/figwick/figwick/internal/policy/queue"
+)
+
+const (
+	work     = 200 * time.Millisecond
+	target   = 600 * time.Millisecond
+	deadline = 1500 * time.Millisecond
+)
+
+type (
+	// arrivals is a steady load of one priority.
+	arrivals struct {
+		priority int
+		every    time.Duration
+	}
+
+	// outcome sums up what became of the attempts of one priority.
+	outcome struct {
+		came, inTime, late, refused int
+		// held is the longest wait before a refusal.
+		held time.Duration
+	}
+
+	waiting struct {
+		priority int
+		came     time.Time
+	}
+)
+
+// play drives a Line of one server with three slots, each attempt taking the same
+// work, and returns what became of each priority.
+func play(loads []arrivals, length time.Duration) map[int]*outcome {
+	l := &queue.Line{Length: 24}
+	random := turn.Seeded(1)
+	begin := time.Unix(0, 0)
+	l.Set(turn.Turn{Now: begin, Random: random}, queue.Server{ID: "a", Slots: 3})
+	l.Leave(turn.Turn{Now: begin, Random: random}, "a", work)
+	sums := map[int]*outcome{}
+	for _, a := range loads {
+		sums[a.priority] = &outcome{}
+	}
+	open := map[ident.Attempt]waiting{}
+	ends := map[ident.Attempt]time.Time{}
+	for at := time.Duration(0); at < length; at += time.Millisecond {
+		t := turn.Turn{Now: begin.Add(at), Random: random}
+		grant := func(id ident.Attempt) { ends[id] = t.Now.Add(work) }
+		settle := func(out queue.Outcome) {
+			for _, g := range out.Grants {
+				grant(g.Attempt)
+			}
+			for _, id := range out.Refused {
+				sums[open[id].priority].refuse(t.Now.Sub(open[id].came))
+				delete(open, id)
+			}
+		}
+		for _, id := range slices.Sorted(maps.Keys(ends)) {
+			if t.Now.Before(ends[id]) {
+				continue
+			}
+			delete(ends, id)
+			sums[open[id].priority].answer(t.Now.Sub(open[id].came))
+			delete(open, id)
+			settle(l.Leave(t, "a", work))
+		}
+		settle(l.Tick(t))
+		for _, a := range loads {
+			if at%a.every != 0 {
+				continue
+			}
+			sums[a.priority].came++
+			id := ident.Attempt(fmt.Sprintf("%d-%d", a.priority, at))
+			open[id] = waiting{priority: a.priority, came: t.Now}
+			decision, g := l.Enter(t, queue.Entry{
+				Attempt: id, Repeatable: true, Priority: a.priority,
+				Target: t.Now.Add(target), Deadline: t.Now.Add(deadline),
+			})
+			switch decision {
+			case queue.Granted:
+				grant(g.Attempt)
+			case queue.Waiting:
+			default:
+				sums[a.priority].refuse(0)
+				delete(open, id)
+			}
+		}
+	}
+	return sums
+}
+
+func (o *outcome) answer(took time.Duration) {
+	if took <= target {
+		o.inTime++
+		return
+	}
+	o.late++
+}
+
+func (o *outcome) refuse(waited time.Duration) {
+	o.refused++
+	o.held = max(o.held, waited)
+}
+
+// TestSteadyOverload: at one and a half times what the slots can do, most answers
+// that come are in time, instead of all of them being late.
+func TestSteadyOverload(t *testing.T) {
+	o := play([]arrivals{{priority: 1, every: 44 * time.Millisecond}}, 20*time.Second)[1]
+	t.Logf("%+v", *o)
+	assert.Check(t, o.inTime*10 >= o.came*6, "the slots can serve two thirds: %+v", *o)
+	assert.Check(t, o.late*5 <= o.inTime, "%+v", *o)
+}
+
+// TestUrgentOverload: urgent work that fills the slots is served, and the rest is
+// refused soon, not held to its deadline.
+func TestUrgentOverload(t *testing.T) {
+	sums := play([]arrivals{{priority: 1, every: 66 * time.Millisecond}, {priority: 2, every: 150 * time.Millisecond}}, 20*time.Second)
+	urgent, rest := sums[1], sums[2]
+	t.Logf("urgent %+v, rest %+v", *urgent, *rest)
+	assert.Check(t, urgent.inTime*100 >= urgent.came*90, "%+v", *urgent)
+	assert.Check(t, rest.held <= deadline/2, "%+v", *rest)
+}
+
+// TestCalm: below what the slots can do, nothing is refused or late.
+func TestCalm(t *testing.T) {
+	for priority, o := range play([]arrivals{{priority: 1, every: 100 * time.Millisecond}, {priority: 2, every: 300 * time.Millisecond}}, 20*time.Second) {
+		assert.Check(t, o.refused == 0 && o.late == 0, "%d: %+v", priority, *o)
+	}
+}
