link: a broken session is closed by its receiver, so that no reader spins

Cause: yamux wakes the readers of a session's streams when it begins to close and marks the streams at the end; in between they spin. Where the sender or the keep-alive closes it, that lasts until the receiver is scheduled: on one processor 10 ms and more, and for ever where time stands still meanwhile.

--- a/internal/base/sock/sock.go
+++ b/internal/base/sock/sock.go
@@ -27,6 +27,8 @@
 	connectTimeout = time.Second
 )
 
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: mostProbes}
+
 // Dialer dials connections that end by themselves where they fall silent. The
 // zero value is ready.
 type Dialer struct{}
@@ -34,15 +36,28 @@
 // DialContext dials an address.
 func (*Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout: connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeEvery, Interval: probeEvery, Count: mostProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return LimitUnacked(raw, unackedTimeout) },
+		Timeout:         connectTimeout,
+		KeepAliveConfig: keepAlive,
+		Control:         func(_, _ string, raw syscall.RawConn) error { return LimitUnacked(raw, unackedTimeout) },
 	}
 	return d.DialContext(ctx, network, address)
 }
 
+// Watch makes a connection that was accepted or dialled elsewhere end by itself
+// where it falls silent. What is no TCP connection stays as it is.
+func Watch(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	err := tcp.SetKeepAliveConfig(keepAlive)
+	raw, rawErr := tcp.SyscallConn()
+	if rawErr != nil {
+		return errors.CombineErrors(err, rawErr)
+	}
+	return errors.CombineErrors(err, LimitUnacked(raw, unackedTimeout))
+}
+
 // LimitUnacked bounds how long bytes that were sent may stay unacknowledged.
 func LimitUnacked(raw syscall.RawConn, limit time.Duration) error {
 	var failed error
--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -16,11 +16,10 @@
 )
 
 const (
-	helloTimeout      = 3 * time.Second
-	keepAliveInterval = 10 * time.Second
-	writeTimeout      = 10 * time.Second
-	streamWindow      = 512 << 10
-	acceptBacklog     = 1024
+	helloTimeout  = 3 * time.Second
+	writeTimeout  = 10 * time.Second
+	streamWindow  = 512 << 10
+	acceptBacklog = 1024
 	// retireBeat is how often a session that was given up is looked at.
 	retireBeat = time.Second
 )
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/base/sock"
 	"github.com/figwick/figwick/internal/peer/wire"
 )
 
@@ -33,7 +34,10 @@
 	if err != nil {
 		return nil, Peer{}, errors.Wrapf(err, "link: dial %s", address)
 	}
-	session, err := yamux.Client(&joined{Conn: raw}, p.yamux())
+	if err := sock.Watch(raw); err != nil {
+		p.config.Log.Warn("connection is not watched", "peer", address, "error", err)
+	}
+	session, err := yamux.Client(newJoined(raw), p.yamux())
 	if err != nil {
 		_ = raw.Close()
 		return nil, Peer{}, errors.Wrapf(err, "link: session with %s", address)
@@ -105,7 +109,10 @@
 
 // welcome answers the Hello of a session that a peer dialled.
 func (p *Pool) welcome(ctx context.Context, raw net.Conn) {
-	session, err := yamux.Server(&joined{Conn: raw}, p.yamux())
+	if err := sock.Watch(raw); err != nil {
+		p.config.Log.Warn("connection is not watched", "peer", raw.RemoteAddr().String(), "error", err)
+	}
+	session, err := yamux.Server(newJoined(raw), p.yamux())
 	if err != nil {
 		_ = raw.Close()
 		return
@@ -170,7 +177,10 @@
 func (p *Pool) yamux() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.AcceptBacklog = acceptBacklog
-	config.KeepAliveInterval = keepAliveInterval
+	// A session that ends by its keep-alive closes from outside its receiving
+	// goroutine, and until that one has noticed, all readers of its streams
+	// spin. TCP's own keep-alive ends the receiving goroutine first.
+	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = writeTimeout
 	config.MaxStreamWindowSize = streamWindow
 	config.LogOutput = p.config.Log.StandardWriter(&hclog.StandardLoggerOptions{InferLevels: true})
