--- a/internal/policy/health/doc.go
+++ b/internal/policy/health/doc.go
@@ -19,4 +19,7 @@
 //
 // An ejected server rests for a hold that doubles with each repeat, then gets a
 // trickle of repeatable requests, and returns after a run of good answers.
+//
+// A server that has no others beside it is judged by a Prior, where one is set, with
+// latencies relative to each request's target.
 package health
--- a/internal/policy/queue/doc.go
+++ b/internal/policy/queue/doc.go
@@ -7,7 +7,12 @@
 // one that has waited too long is refused when its turn comes, so that no slot
 // goes to work whose caller has already been lost.
 //
+// What waits goes in the order of its use: attempts whose answer can still be in
+// time before those whose answer will be late, then the more urgent first. The wait
+// that an attempt would have is estimated with the inflow of more urgent ones, which
+// go ahead of it. A Direct attempt is refused rather than made to wait.
+//
 // Servers have a Grade. Preferred ones come first, the least loaded before the
-// others; a Trial server gets one repeatable request at a time; a Last server is
+// others; a Trial server gets one repeatable request at a time, a Wary one one of any kind; a Last server is
 // used only for attempts that allow it while no other has room.
 package queue
