--- a/internal/policy/desk/desk.go
+++ b/internal/policy/desk/desk.go
@@ -38,7 +38,7 @@
 	// loneThreshold is the sum of failures at which a server that is judged by a
 	// prior level raises an alarm: two in a row, with the prior's rates.
 	loneThreshold = 4.9
-	// loneLatencyThreshold is the same for latencies: eight slow answers in a row.
+	// loneLatencyThreshold is the same for latencies: thirty slow answers in a row.
 	loneLatencyThreshold = 60.0
 	// wideTrialAfter is when a trial that had no repeatable request takes any.
 	wideTrialAfter = time.Second
