front: a stopping node refuses requests that would probably be cut off

Cause: since a stopping ingress shortens the deadline of each request that it takes to its own end. It takes requests until a second before that, so those that need longer are started and cut off. Callers still come then where most of a zone stops at the same time. The sidecars refuse attempts that would outlast their own stop; the ingress did not look at its own.

Change: during a stop the ingress refuses a request at once, as not run, if less than the route's target latency is left, or less than twice that once callers have had time to notice the stop.

Why it works: what is started has at least the time that nearly all requests need. The others are told the truth while another node can still take them.

--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -376,6 +376,9 @@
 	}
 	x.match = match
 	x.applyOptions()
+	if x.refuseOutlasting() {
+		return false
+	}
 	if r.ContentLength > match.MaxBodyBytes {
 		x.notRun(failureInfo{
 			status: http.StatusRequestEntityTooLarge, step: "accept",
--- a/internal/proxy/front/server.go
+++ b/internal/proxy/front/server.go
@@ -109,7 +109,9 @@
 		table    atomic.Pointer[config.Table]
 		inFlight atomic.Int64
 		// stopBy is when the process ends. It is nil unless the node is stopping.
-		stopBy    atomic.Pointer[time.Time]
+		stopBy atomic.Pointer[time.Time]
+		// draining is set by Drain.
+		draining  atomic.Bool
 		stopper   stopper
 		mutex     sync.Mutex
 		services  map[ident.Service]*service
--- a/internal/proxy/front/stop.go
+++ b/internal/proxy/front/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +16,10 @@
 	// stopAnswerTime is how long before the process ends every request still in
 	// flight is answered.
 	stopAnswerTime = 150 * time.Millisecond
+	// drainTargets is how many target latencies must be left for a request that
+	// arrives while the node drains. It is more than the latency that most requests
+	// have, since its attempt would otherwise be cut off.
+	drainTargets = 2
 )
 
 // errStopping is the cause that cancels an attempt because this process ends.
@@ -49,6 +55,34 @@
 	})
 }
 
+// Drain tells the ingress that callers have had time to notice that this node is
+// stopping.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+}
+
+// refuseOutlasting refuses a request that would probably still run when the process
+// ends, and reports whether it did. Another node can take it while there is time.
+func (x *exchange) refuseOutlasting() bool {
+	end := x.server.stopBy.Load()
+	if end == nil {
+		return false
+	}
+	needed := x.match.TargetLatency
+	if x.server.draining.Load() {
+		needed *= drainTargets
+	}
+	left := end.Add(-stopAnswerTime).Sub(x.arrived)
+	if left > needed {
+		return false
+	}
+	x.notRun(failureInfo{
+		status: http.StatusServiceUnavailable, step: "stop", retryAfter: overloadRetryAfter,
+		detail: fmt.Sprintf("this node stops in %s, the request may take %s", left, needed),
+	})
+	return true
+}
+
 // answerBy returns the time by which the request must be answered: its deadline, or
 // earlier if the process ends before.
 func (x *exchange) answerBy() time.Time {
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -137,6 +137,7 @@
 		n.handOver(ctx)
 	}
 	n.state.Store(phaseDraining)
+	n.front.Drain()
 	n.side.Do(func(_ eval.Context, d *admit.Controller) admit.Ops {
 		d.Drain()
 		return admit.Ops{}
