proc: a repeated SIGTERM does not abort a graceful stop

What callers saw: whole requests on open connections got neither an answer nor a refusal while their node was being stopped as planned.

Cause: StopSignals took any second signal for a person's Ctrl-C and aborted. A supervisor, a roll-out and a scale-in that overlap each send SIGTERM, so the second of them cut everything in flight. Class: an operation that several parties may repeat was not idempotent.

--- a/cmd/figwick/node.go
+++ b/cmd/figwick/node.go
@@ -61,7 +61,8 @@
 		Name:  "node",
 		Usage: "run one node of the fleet",
 		Description: "Takes callers' requests, serves the backend servers that announce themselves to it, and " +
-			"acts with the other nodes. SIGTERM or SIGINT stops it gracefully; a second one at once.",
+			"acts with the other nodes. SIGTERM or SIGINT stops it gracefully, a second SIGINT at once; " +
+			"further SIGTERMs change nothing.",
 		Flags: s.flags(),
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			return s.run(ctx)
--- a/cmd/figwickd/main.go
+++ b/cmd/figwickd/main.go
@@ -44,7 +44,8 @@
 		Usage:   "run one node on the users' platform",
 		Version: version,
 		Description: "Takes its settings from the platform's settings file. Logs go to standard output as JSON. " +
-			"SIGTERM or SIGINT stops it gracefully; a second one at once. SIGHUP reads the settings again. " +
+			"SIGTERM or SIGINT stops it gracefully, a second SIGINT at once; further SIGTERMs change nothing. " +
+			"SIGHUP reads the settings again. " +
 			"Exit codes: 0 stopped; 1 failed; 2 a setting or argument is wrong.",
 		Flags: []cli.Flag{
 			text("settings", &f.settings, "", "the platform's settings file", platform.SettingsVariable),
--- /dev/null
+++ b/cmd/figwickd/main_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// asProgram makes the test binary run as figwickd itself.
+	asProgram = "FIGWICK_TEST_AS_PROGRAM"
+	grace     = 4 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// node is a figwickd process and its addresses.
+type node struct {
+	*exec.Cmd
+	log      bytes.Buffer
+	outbound string
+	settings []byte
+	ended    chan error
+}
+
+// newNode returns a node that is not started, with its settings at the given path.
+func newNode(t *testing.T, path string) *node {
+	t.Helper()
+	ports := make([]string, 4)
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		ports[i] = l.Addr().String()
+	}
+	text, err := json.Marshal(map[string]any{
+		"node": "node-1", "ip": "127.0.0.1", "zone": "zone-1", "service": "shop",
+		"listen":         map[string]any{"outbound": ports[0], "ready": ports[1], "control": ports[2]},
+		"internal_ports": []int{freePort(t), freePort(t)}, "heartbeat": "300ms", "limits": map[string]any{"memory_mb": 284},
+		"bounds": map[string]any{
+			"grace": grace.String(), "retry_budget_ratio": 0.2, "retry_budget_base": 30, "budget_window": "10s",
+		},
+		"platform": map[string]any{"address": ports[3], "ttl_min": "1000ms"},
+	})
+	assert.NilError(t, err)
+	n := &node{outbound: ports[0], settings: text, ended: make(chan error, 1)}
+	n.Cmd = exec.CommandContext(t.Context(), os.Args[0], "--settings", path)
+	n.Env = append(os.Environ(), asProgram+"=1")
+	n.Stdout, n.Stderr = &n.log, &n.log
+	return n
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (n *node) start(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, n.Start())
+	go func() { n.ended <- n.Wait() }()
+}
+
+// awaitEnd waits for the process's end and checks that it stopped gracefully.
+func (n *node) awaitEnd(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-n.ended:
+		assert.NilError(t, err, n.log.String())
+		assert.Check(t, bytes.Contains(n.log.Bytes(), []byte("node-stopped")), n.log.String())
+	case <-time.After(2 * grace):
+		_ = n.Process.Kill()
+		t.Fatalf("figwickd still runs %v after SIGTERM", 2*grace)
+	}
+}
+
+func (n *node) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, n.Process.Signal(s))
+}
+
+// status returns the status of a caller's request.
+func (n *node) status() (int, error) {
+	response, err := http.Get(fmt.Sprintf("http://%s/", n.outbound))
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
+// TestRepeatedSignalsKeepServing guards against callers that lose their requests because
+// a stopping process gets SIGTERM or SIGHUP again.
+func TestRepeatedSignalsKeepServing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	n := newNode(t, path)
+	assert.NilError(t, os.WriteFile(path, n.settings, 0o600))
+	n.start(t)
+	for _, err := n.status(); err != nil; _, err = n.status() {
+		time.Sleep(20 * time.Millisecond)
+	}
+	for range 10 {
+		n.signal(t, syscall.SIGTERM)
+		n.signal(t, syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond)
+		status, err := n.status()
+		assert.NilError(t, err)
+		// Without a store the node has no configuration.
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	n.awaitEnd(t)
+}
