figwickd: signals are handled from the start of main

What callers saw: a node that was stopped or reloaded right after its start ended by the signal instead of stopping gracefully.

Cause: SIGHUP was handled once the arguments were read, SIGTERM and SIGINT only after the settings; until then each kills the process. They were also released before the exit, so that a further SIGTERM during the last steps changed the exit status.

Change: main installs both handlers first and keeps them until the process exits.

Evidence: TestSignalsBeforeSettings holds the settings back and sends both signals twice.

Why it works: no step of the start is left before the handlers but the initialization of packages.

--- a/cmd/figwickd/main.go
+++ b/cmd/figwickd/main.go
@@ -37,6 +37,12 @@
 }
 
 func main() {
+	// Signals that arrive while the arguments and settings are read must not kill the
+	// process. They are handled until it exits.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	abort, end := context.WithCancel(context.Background())
+	ctx, _ := proc.StopSignals(context.Background(), end)
 	cli.VersionPrinter = func(*cli.Command) { fmt.Println(version) }
 	var f flags
 	command := &cli.Command{
@@ -53,10 +59,10 @@
 				"FIGWICK_PEERS_LISTEN"),
 			text("log-level", &f.logLevel, "info", "one of trace, debug, info, warn, error", "FIGWICK_LOG_LEVEL"),
 		},
-		Action:         func(ctx context.Context, _ *cli.Command) error { return f.run(ctx) },
+		Action:         func(ctx context.Context, _ *cli.Command) error { return f.run(ctx, abort, hangup) },
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
-	err := command.Run(context.Background(), os.Args)
+	err := command.Run(ctx, os.Args)
 	if err == nil {
 		return
 	}
@@ -73,9 +79,7 @@
 	}
 }
 
-func (f *flags) run(ctx context.Context) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+func (f *flags) run(ctx, abort context.Context, hangup <-chan os.Signal) error {
 	if _, err := platform.ReadSettings(f.settings); err != nil {
 		return errors.Mark(err, errSettings)
 	}
@@ -84,10 +88,6 @@
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "figwick", Level: hclog.LevelFromString(f.logLevel), JSONFormat: true, Output: out,
 	})
-	abort, end := context.WithCancel(ctx)
-	defer end()
-	ctx, stop := proc.StopSignals(ctx, end)
-	defer stop()
 	return platform.Run(ctx, abort, platform.Options{
 		Settings: f.settings, PeersListen: f.peersListen, Hangup: hangup, Log: log, Version: version,
 	})
--- a/cmd/figwickd/main_test.go
+++ b/cmd/figwickd/main_test.go
@@ -128,3 +128,26 @@
 	}
 	n.awaitEnd(t)
 }
+
+// TestSignalsBeforeSettings guards against a process that a signal kills before it has
+// read its settings.
+func TestSignalsBeforeSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	n := newNode(t, path)
+	assert.NilError(t, syscall.Mkfifo(path, 0o600))
+	n.start(t)
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	for range 2 {
+		n.signal(t, syscall.SIGHUP)
+		n.signal(t, syscall.SIGTERM)
+		time.Sleep(50 * time.Millisecond)
+	}
+	// The settings are read again later, from a regular file.
+	assert.NilError(t, os.WriteFile(path+".next", n.settings, 0o600))
+	assert.NilError(t, os.Rename(path+".next", path))
+	_, err = pipe.Write(n.settings)
+	assert.NilError(t, err)
+	assert.NilError(t, pipe.Close())
+	n.awaitEnd(t)
+}
