front: a stopping node starts no attempt that would be cut off

Cause: during a stop a request's attempts may start until the moment at which it must be answered.

Change: the last moment at which a sidecar may start an attempt, and at which the ingress makes another, lies the route's target latency before that.

Why it works: a sidecar refuses what it can't start by its stamp, so such a request ends as not run, which is true, instead of as unknown.

Test: TestStopStartsNoLateAttempts; without the check in the loop its second case opens two streams.

--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -115,7 +115,7 @@
 	}
 	a.stream = stream
 	a.sentAt = x.now()
-	a.stamp = stream.PeerClock.Stamp(a.sentAt, x.answerBy().Sub(a.sentAt))
+	a.stamp = stream.PeerClock.Stamp(a.sentAt, x.startBy().Sub(a.sentAt))
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a, nil
 }
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -129,7 +129,8 @@
 		}
 		x.noBackend = result.noBackend
 		step := x.nextStep(result.outcome)
-		if step != retry.TryAgain || x.stopSignal().Err() != nil || !x.body.rewind() {
+		stopping := x.stopSignal().Err() != nil || !x.now().Before(x.startBy())
+		if step != retry.TryAgain || stopping || !x.body.rewind() {
 			x.respond(x.finalStep(step))
 			return
 		}
--- a/internal/proxy/front/stop.go
+++ b/internal/proxy/front/stop.go
@@ -94,6 +94,17 @@
 	return x.deadline
 }
 
+// startBy returns the time by which an attempt must be started: so early before the
+// process ends that most requests are answered until then, or the request's deadline.
+func (x *exchange) startBy() time.Time {
+	if end := x.server.stopBy.Load(); end != nil {
+		if last := end.Add(-stopAnswerTime - x.match.TargetLatency); last.Before(x.deadline) {
+			return last
+		}
+	}
+	return x.deadline
+}
+
 // stopSignal returns the context that is canceled when the request's attempts must
 // end because the process does.
 func (x *exchange) stopSignal() context.Context {
--- a/internal/proxy/front/stop_test.go
+++ b/internal/proxy/front/stop_test.go
@@ -27,11 +27,17 @@
 	stopGrace  = 5500 * time.Millisecond
 )
 
-// countingOpener counts the streams that the ingress opens, and opens none.
-type countingOpener struct{ opened int }
+// countingOpener counts the streams that the ingress opens. Each try takes a while and
+// fails.
+type countingOpener struct {
+	clock  *clockwork.FakeClock
+	takes  time.Duration
+	opened int
+}
 
 func (o *countingOpener) Open(context.Context, string) (*link.Stream, error) {
 	o.opened++
+	o.clock.Advance(o.takes)
 	return nil, errors.New("no stream in this test")
 }
 
@@ -43,6 +49,33 @@
 
 func (noSidecars) Relays(string, int) []string { return nil }
 
+// newStopServer returns an ingress with two sidecars and its opener.
+func newStopServer(clock *clockwork.FakeClock) (*front.Server, *countingOpener) {
+	opener := &countingOpener{clock: clock}
+	s := front.NewServer(front.Config{
+		Clock: clock, Random: eval.NewRandom(1), Log: hclog.NewNullLogger(), Meter: meter.New(tally.NoopScope),
+		Links: opener, Finder: noSidecars{}, Relays: noSidecars{},
+	})
+	s.Configure(config.Compile(1, &config.File{
+		Version:  1,
+		Services: []config.Service{{Name: "shop", Deadline: 5 * time.Second, Retry: config.Retry{Attempts: 2}}},
+		Hosts: []config.Host{{Name: "shop.test", Routes: []config.HostRoute{{
+			Name: "orders", Prefix: "/", TargetLatency: stopTarget, Deadline: 5 * time.Second, Attempts: 2,
+			Parts: []config.WeightedService{{Service: "shop", Weight: 1}},
+		}}}},
+	}))
+	s.SetSidecars("shop", []route.Sidecar{
+		{Address: "10.0.0.1:7", Node: "node-2", Slots: 3}, {Address: "10.0.0.2:7", Node: "node-3", Slots: 3},
+	})
+	return s, opener
+}
+
+func newOrder() *http.Request {
+	r := httptest.NewRequest(http.MethodPost, "http://shop.test/", http.NoBody)
+	r.Host = "shop.test"
+	return r
+}
+
 // TestStopRefusesRequestsThatWouldBeCut guards against requests that are passed on late in a
 // graceful stop and cut off while a backend server works on them.
 func TestStopRefusesRequestsThatWouldBeCut(t *testing.T) {
@@ -61,29 +94,14 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
-			opener := &countingOpener{}
-			s := front.NewServer(front.Config{
-				Clock: clock, Random: eval.NewRandom(1), Log: hclog.NewNullLogger(), Meter: meter.New(tally.NoopScope),
-				Links: opener, Finder: noSidecars{}, Relays: noSidecars{},
-			})
-			s.Configure(config.Compile(1, &config.File{
-				Version:  1,
-				Services: []config.Service{{Name: "shop", Deadline: 5 * time.Second, Retry: config.Retry{Attempts: 1}}},
-				Hosts: []config.Host{{Name: "shop.test", Routes: []config.HostRoute{{
-					Name: "orders", Prefix: "/", TargetLatency: stopTarget, Deadline: 5 * time.Second, Attempts: 1,
-					Parts: []config.WeightedService{{Service: "shop", Weight: 1}},
-				}}}},
-			}))
-			s.SetSidecars("shop", []route.Sidecar{{Address: "10.0.0.1:7", Node: "node-2", Slots: 3}})
+			s, opener := newStopServer(clock)
 			s.StopBy(t.Context(), clock.Now().Add(stopGrace))
 			clock.Advance(c.after)
 			if c.draining {
 				s.Drain()
 			}
-			r := httptest.NewRequest(http.MethodPost, "http://shop.test/", http.NoBody)
-			r.Host = "shop.test"
 			w := httptest.NewRecorder()
-			s.ServeHTTP(w, r)
+			s.ServeHTTP(w, newOrder())
 			assert.Equal(t, opener.opened > 0, c.accepted, "streams opened: %d", opener.opened)
 			if !c.accepted {
 				assert.Equal(t, w.Code, http.StatusServiceUnavailable)
@@ -92,3 +110,28 @@
 		})
 	}
 }
+
+// TestStopStartsNoLateAttempts guards against requests that are accepted in time but passed
+// on, after a failed attempt, so late in a graceful stop that they are cut off.
+func TestStopStartsNoLateAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		takes  time.Duration
+		opened int
+	}{
+		{"the first attempt fails at once", 0, 2},
+		{"the first attempt takes most of the time that is left", 2500 * time.Millisecond, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			s, opener := newStopServer(clock)
+			opener.takes = c.takes
+			s.StopBy(t.Context(), clock.Now().Add(stopGrace))
+			clock.Advance(2 * time.Second)
+			w := httptest.NewRecorder()
+			s.ServeHTTP(w, newOrder())
+			assert.Equal(t, opener.opened, c.opened)
+			assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		})
+	}
+}
