node: a test for requests that wait while their node stops

It let a connection end without an answer as long as the request had not run, and it took answers that came after the node had stopped, when a process would be gone.

--- a/internal/proxy/node/stop_load_test.go
+++ b/internal/proxy/node/stop_load_test.go
@@ -26,6 +26,11 @@
 	stopSpan = 1500 * time.Millisecond
 	// maxWork is the longest work of a request. Some of it outlasts a stop.
 	maxWork = 3 * time.Second
+	// lossSlack is how long after a request was sent its connection may end without an
+	// answer: request and close may have crossed.
+	lossSlack = 200 * time.Millisecond
+	// readSlack is how long a caller may take to read what was sent before a node ended.
+	readSlack = time.Second
 	// viaHeader names the caller address for a request's own calls.
 	viaHeader = "X-Via"
 )
@@ -34,8 +39,13 @@
 // connection ended without an answer.
 type stopReply struct {
 	id     string
+	at     int
 	status int
 	err    error
+	// behind reports that the request was sent behind another on its connection.
+	behind   bool
+	sent     time.Time
+	received time.Time
 }
 
 // workAndCall works as long as the request says, and calls other backend servers
@@ -66,7 +76,7 @@
 // TestStopAnswersEveryRequest stops two of four nodes under load, at random times, while
 // requests with and without calls of their own run and wait, some of them for longer
 // than the stop may take. Each request that was run, or whose connection was open, must
-// get a whole answer, and the answer must be true.
+// get a whole answer before the process ends, and the answer must be true.
 func TestStopAnswersEveryRequest(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -80,13 +90,15 @@
 			}
 			var pending sync.WaitGroup
 			replies := make(chan stopReply, 2*stopLoad)
-			for _, at := range []int{0, 1} {
+			var ends [2]time.Time
+			for at := range ends {
 				delay := time.Duration(random.Int64N(int64(stopSpan)))
 				pending.Go(func() {
 					time.Sleep(delay)
 					began := time.Now()
 					assert.Check(t, b.Nodes[at].Stop())
-					took := time.Since(began)
+					ends[at] = time.Now()
+					took := ends[at].Sub(began)
 					assert.Check(t, took < stopDrainTimeout+time.Second, "stop of node %d took %s", at+1, took)
 				})
 			}
@@ -109,7 +121,7 @@
 			}
 			pending.Wait()
 			close(replies)
-			checkStopReplies(t, b, replies)
+			checkStopReplies(t, b, ends, replies)
 		})
 	}
 }
@@ -144,37 +156,48 @@
 		}
 		text.WriteString("\r\n")
 	}
-	if _, err := io.WriteString(connection, text.String()); err != nil {
-		replies <- stopReply{id: c.id, err: err}
+	r := stopReply{id: c.id, at: c.at, sent: time.Now()}
+	if _, r.err = io.WriteString(connection, text.String()); r.err != nil {
+		r.received = time.Now()
+		replies <- r
 		return
 	}
 	reader := bufio.NewReader(connection)
-	for _, id := range ids {
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			replies <- stopReply{id: id, err: err}
-			continue
-		}
-		_, err = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-		if err != nil {
-			replies <- stopReply{id: id, err: err}
-			continue
-		}
-		replies <- stopReply{id: id, status: response.StatusCode}
+	for i, id := range ids {
+		r.id, r.behind = id, i > 0
+		r.status, r.err = readStatus(reader)
+		r.received = time.Now()
+		replies <- r
+	}
+}
+
+// readStatus reads a response and returns its status, or 0 if the response is not whole.
+func readStatus(r *bufio.Reader) (int, error) {
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0, err
 	}
+	return response.StatusCode, nil
 }
 
 // checkStopReplies compares what the callers saw with what the backend servers ran.
-func checkStopReplies(t *testing.T, b *bench, replies <-chan stopReply) {
+func checkStopReplies(t *testing.T, b *bench, ends [2]time.Time, replies <-chan stopReply) {
 	t.Helper()
 	statuses := map[int]int{}
 	for r := range replies {
 		runs := b.runs(r.id)
 		statuses[r.status]++
+		late := r.received.Sub(ends[r.at])
+		assert.Check(t, late < readSlack, "%s was answered %s after its node had stopped", r.id, late)
 		switch {
 		case r.err != nil:
 			assert.Check(t, runs == 0, "%s ran, but its connection ended without an answer: %v", r.id, r.err)
+			took := r.received.Sub(r.sent)
+			assert.Check(t, r.behind || took < lossSlack, "%s got neither an answer nor a refusal in %s: %v", r.id, took, r.err)
 		case r.status == http.StatusServiceUnavailable:
 			assert.Check(t, runs == 0, "%s was answered as not run, but it ran", r.id)
 		case r.status == http.StatusOK:
