front: a response that was not passed on does not outlast the deadline or the stop

What callers saw: a request whose backend server had sent the header and a part of the body got no answer at its deadline, and when its node was stopped, its connection ended without one (EOF).

Cause: once the header of a response had been received, neither the deadline nor the end of a stop ended the attempt. The caller has nothing of that response yet: up to 64 KiB of known length are held back until they are complete. Then only the stall timeout of 30 s or the end of the process applied. Bodies up to 16 KiB are not affected, because the sidecar sends them together with their header. Class: a stop with a bound takes on work that it neither finishes nor refuses.

Change: an attempt may be ended until a part of an incomplete response is passed on to the caller. One compare-and-swap decides between ending and passing on. A response that is complete is always sent.

Evidence: TestStopAnswersHalfReceivedResponses (repeatable and not) and TestDeadlineAnswersHalfReceivedResponses, with 40000 bytes announced and 4 sent. Before: "EOF" for both kinds, and no answer 1.5 s after the deadline. After: 502 and 504, outcome unknown, two of two runs with -race. All tests of internal/proxy pass once with -race.

Why it works: an ended attempt gives the request its usual outcome for a lost response, which includes the fence for requests that must not repeat.

--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -69,13 +69,12 @@
 		if !a.x.race.win(a) {
 			return a.lost("hedge", errHedged), true
 		}
-		a.headerReceived.Store(true)
 		a.response = a.x.newResponse(head)
 	case wire.KindBody:
 		if a.response == nil {
 			return a.streamFailed(wire.ErrFrame), true
 		}
-		if err := a.response.add(f.Payload); err != nil {
+		if err := a.response.add(a, f.Payload); err != nil {
 			return a.callerGone(err), true
 		}
 	case wire.KindEnd:
@@ -228,7 +227,7 @@
 
 // flushIfIdle waits up to flushDelay for more of a response of unknown length. If
 // nothing comes, it sends what is held to the caller, who may be waiting for just
-// that. It reports false if the write failed.
+// that, unless the attempt has been ended. It reports false if the write failed.
 func (r *response) flushIfIdle(a *attempt) bool {
 	if r.head.ContentLength >= 0 || a.stream.Buffered() {
 		return true
@@ -236,7 +235,7 @@
 	if len(r.held) == 0 && r.x.committed {
 		return true
 	}
-	if a.stream.WaitForFrame(flushDelay) {
+	if a.stream.WaitForFrame(flushDelay) || !a.beginPassing() {
 		return true
 	}
 	return r.commit() == nil && r.control.Flush() == nil
@@ -245,9 +244,11 @@
 // flushDelay is how long a response of unknown length is held for more data.
 const flushDelay = 50 * time.Millisecond
 
-// add takes a part of the body. It holds the part back or sends it on.
-func (r *response) add(p []byte) error {
-	if !r.x.committed && len(r.held)+len(p) <= maxHeldBytes && !r.isEventStream() {
+// add takes a part of the body. It holds the part back or sends it on. The part is also
+// held back if the attempt has been ended, since its stream then fails.
+func (r *response) add(a *attempt, p []byte) error {
+	hold := !r.x.committed && len(r.held)+len(p) <= maxHeldBytes && !r.isEventStream()
+	if hold || !a.beginPassing() {
 		r.held = append(r.held, p...)
 		return nil
 	}
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -67,12 +67,22 @@
 		noWait bool
 		// hedge reports that the attempt runs beside an earlier one.
 		hedge bool
-		// headerReceived reports that the header of the response was received.
-		headerReceived atomic.Bool
-		sentAt         time.Time
+		// phase is one of the phases below.
+		phase  atomic.Int32
+		sentAt time.Time
 	}
 )
 
+// The phases of an attempt. It leaves the first one once.
+const (
+	// attemptOpen may be ended, since its caller has received no part of a response.
+	attemptOpen int32 = iota
+	// attemptPassing passes an incomplete response on to the caller.
+	attemptPassing
+	// attemptEnded was ended by the deadline or by the stop of this process.
+	attemptEnded
+)
+
 // attempt makes one attempt at a sidecar. If the attempt must not repeat and its
 // response is lost, it asks the sidecar for the attempt's fate.
 func (x *exchange) attempt(ctx context.Context, sidecar route.Sidecar, noWait, hedge bool) result {
@@ -237,14 +247,25 @@
 	}
 }
 
-// onDeadline ends an attempt whose response has not begun by the deadline. If it
-// has begun, the sidecar watches the rest of the body.
+// onDeadline ends an attempt of whose response the caller has received nothing by
+// the deadline. Once a part was passed on, the sidecar watches the rest of the body.
 func (a *attempt) onDeadline() {
-	if !a.headerReceived.Load() {
-		a.cancel(context.DeadlineExceeded)
+	a.end(context.DeadlineExceeded)
+}
+
+// end ends an attempt that is open, for the given cause.
+func (a *attempt) end(cause error) {
+	if a.phase.CompareAndSwap(attemptOpen, attemptEnded) {
+		a.cancel(cause)
 	}
 }
 
+// beginPassing reports whether an incomplete response may be passed on. The attempt
+// cannot be ended any more after that.
+func (a *attempt) beginPassing() bool {
+	return a.phase.CompareAndSwap(attemptOpen, attemptPassing) || a.phase.Load() == attemptPassing
+}
+
 // probe pings the peer over the stream's session until the attempt ends. If a
 // ping fails, it cancels the attempt with errPathSilent.
 func (a *attempt) probe() {
--- a/internal/proxy/front/stop.go
+++ b/internal/proxy/front/stop.go
@@ -114,10 +114,8 @@
 	return x.server.stopper.fence
 }
 
-// onStop ends an attempt whose response has not begun when the process is about to
-// end.
+// onStop ends an attempt of whose response the caller has received nothing when the
+// process is about to end.
 func (a *attempt) onStop() {
-	if !a.headerReceived.Load() {
-		a.cancel(errStopping)
-	}
+	a.end(errStopping)
 }
