conns: the last response on a connection is not lost to a reset

What callers saw: a caller that had sent its next request already got only a part of the response to the first one, then "connection reset by peer", when its node was being stopped.

Cause: while a node drains, each response is the last on its connection, and net/http closes the connection after it. TCP resets a connection that is closed with unread data in its receive buffer, and drops what it has not sent yet. A request behind another one is such data.

Change: after a response only the sending side is closed. What still arrives is discarded until the client closes the connection, or sends nothing for 500 ms and has acknowledged the whole response, for 30 s at most. A stop counts such a connection as open, since the end of the process would reset it too. Connections that are idle, that a handler has aborted, or that use HTTP/2 are closed as before.

Evidence: TestPipelinedRequestKeepsResponse, with a response of 1 MiB and a client that reads 200 ms later.

Why it works: the receive buffer is empty, or the response is acknowledged, when the connection is closed. Requests discarded so were sent behind a response that says "Connection: close".

--- a/internal/proxy/conns/conns.go
+++ b/internal/proxy/conns/conns.go
@@ -10,6 +10,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -56,8 +57,15 @@
 		lastRead time.Time
 		isHTTP2  bool
 		closed   bool
+		// answered reports that the handler of the last request has returned.
+		answered bool
+		// lingering reports that only the sending side has been closed.
+		lingering bool
 	}
 
+	// connKey is the key of the conn in the context of its requests.
+	connKey struct{}
+
 	// closingWriter adds "Connection: close" to responses while the tracker drains.
 	closingWriter struct {
 		http.ResponseWriter
@@ -75,11 +83,17 @@
 func (t *Tracker) Track(s *http.Server) {
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := &closingWriter{ResponseWriter: w, tracker: t}
-		handler.ServeHTTP(c, r)
-		c.commit()
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		c.setAnswered(false)
+		writer := &closingWriter{ResponseWriter: w, tracker: t}
+		handler.ServeHTTP(writer, r)
+		writer.commit()
+		c.setAnswered(true)
 	})
 	s.ConnState = setState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
 }
 
 // Listen returns a listener whose connections are tracked. When it is closed, its Accept
@@ -104,9 +118,10 @@
 	t.mutex.Unlock()
 	remaining := 0
 	for _, c := range open {
-		if c.closeIfIdle() {
+		switch {
+		case c.closeIfIdle():
 			_ = c.Close()
-		} else if !c.usesHTTP2() {
+		case !c.usesHTTP2():
 			remaining++
 		}
 	}
@@ -165,11 +180,24 @@
 	return n, err
 }
 
+// setAnswered notes whether the handler of the last request has returned.
+func (c *conn) setAnswered(answered bool) {
+	if c == nil {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.answered = answered
+}
+
 // closeIfIdle marks the connection as closed if no request is in progress on it, and
-// reports whether it is marked.
+// reports whether it is marked and not lingering.
 func (c *conn) closeIfIdle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.lingering {
+		return false
+	}
 	c.closed = c.closed || c.idle()
 	return c.closed
 }
@@ -191,11 +219,26 @@
 	return c.isHTTP2
 }
 
-// Close closes the connection.
+// Close closes the connection. After a response it first closes only the sending side,
+// and does the rest in the background.
 func (c *conn) Close() error {
 	c.mutex.Lock()
+	if c.lingering {
+		c.mutex.Unlock()
+		return nil
+	}
 	c.closed = true
+	c.lingering = !c.isHTTP2 && c.state == http.StateActive && c.answered
+	lingering := c.lingering
 	c.mutex.Unlock()
+	if lingering && c.CloseWrite() == nil {
+		go c.linger()
+		return nil
+	}
+	return c.closeFully()
+}
+
+func (c *conn) closeFully() error {
 	c.tracker.mutex.Lock()
 	delete(c.tracker.conns, c)
 	c.tracker.mutex.Unlock()
--- a/internal/proxy/conns/conns_test.go
+++ b/internal/proxy/conns/conns_test.go
@@ -19,6 +19,8 @@
 	// longTime is longer than a connection that is not idle is kept open without data.
 	longTime = time.Second
 	get      = "GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n"
+	// largeBytes is more than the client's socket takes while nobody reads from it.
+	largeBytes = 1 << 20
 )
 
 // bench is a server whose connections are tracked. Its handler waits for a value from
@@ -60,6 +62,10 @@
 		b.entered <- struct{}{}
 		<-b.leave
 	}
+	if r.URL.Path == "/large" {
+		_, _ = w.Write(make([]byte, largeBytes))
+		return
+	}
 	_, _ = io.WriteString(w, "done")
 }
 
