back: the header of a response is bounded

What happens: a backend server that sends a header without end, or informational responses without end, makes its node read and keep all of it until the request's deadline. The process can run out of memory.

Cause: http.ReadResponse bounds neither the status line nor the fields, and nothing else did.

Change: at most 256 KiB are read up to the end of a response's header, informational responses included. A larger header does not fit into a message between nodes.

Evidence: TestEndlessResponseHeader.

Why it works: the bound counts the bytes read from the connection, below every parser. It is lifted for the body, of which only a small part is kept at a time.

--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
+
+	"github.com/figwick/figwick/internal/peer/wire"
 )
 
 const (
@@ -41,6 +44,10 @@
 	// maxMismatched is the number of responses to other requests after which an
 	// exchange fails.
 	maxMismatched = 4
+	// maxHeadBytes bounds the header of a response, together with the informational
+	// responses before it. A larger one does not fit into a message to another node.
+	maxHeadBytes = wire.MaxHeadBytes
+	unlimited    = math.MaxInt
 )
 
 var (
@@ -49,6 +56,7 @@
 	// ErrResponseMismatch means that the connection returned only responses to
 	// other requests.
 	ErrResponseMismatch = errors.New("back: responses belong to other requests")
+	errHeadTooLarge     = errors.Newf("back: response headers have more than %d bytes", maxHeadBytes)
 )
 
 type (
@@ -90,6 +98,8 @@
 		// writeFailed is whether a write to the connection failed. A response may
 		// have arrived nevertheless.
 		writeFailed bool
+		// readable is how many more bytes may be read.
+		readable    int
 		idleTimeout time.Duration
 		idleSince   time.Time
 	}
@@ -215,7 +225,7 @@
 		return nil, errors.Wrapf(errors.Mark(err, ErrUnsent), "back: connect to %s", address)
 	}
 	c := &conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout}
-	c.reader = bufio.NewReaderSize(raw, bufferSize)
+	c.reader = bufio.NewReaderSize(limitedReader{c}, bufferSize)
 	c.writer = bufio.NewWriterSize(countingWriter{c}, bufferSize)
 	return c, nil
 }
@@ -281,6 +291,8 @@
 
 // readHead reads up to the headers of the next response that is not informational.
 func (c *conn) readHead(r *http.Request, o Options) (*http.Response, error) {
+	c.readable = maxHeadBytes
+	defer func() { c.readable = unlimited }()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
@@ -411,6 +423,21 @@
 	return err == nil && empty
 }
 
+// limitedReader reads from a connection, at most conn.readable bytes.
+type limitedReader struct {
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (l limitedReader) Read(p []byte) (int, error) {
+	if l.conn.readable <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.conn.readable)])
+	l.conn.readable -= n
+	return n, err
+}
+
 // countingWriter writes to a connection, counts the bytes and records failures.
 type countingWriter struct {
 	conn *conn
