store, node: log a store that comes back from an older copy

What was missing: when the store returned from a copy some seconds old, the log said store-back and nothing else.

A node logs store-restored (606) with the old and the new era, and serves the gauge store_era. Nothing else uses the era yet.

--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -66,6 +66,7 @@
 	EntryLost        = Event{603, "entry-lost", hclog.Warn, "The lease of the node's entry in the store has expired; the entry is written again."}
 	EntryBroken      = Event{604, "entry-broken", hclog.Warn, "A node's entry in the store could not be read; it was ignored."}
 	DepartureUnkept  = Event{605, "departure-unkept", hclog.Warn, "The departure of a backend server was acknowledged, but could not be stored for the next run of this node."}
+	StoreRestored    = Event{606, "store-restored", hclog.Warn, "The store has come back from an older copy of its data; what it acknowledged since that copy is lost."}
 )
 
 // All returns the catalogue in the order of its numbers.
@@ -76,7 +77,7 @@
 		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused, AttemptFailed,
 		OutcomeUnknown, AnswerRecovered, AnswerCut, RequestRefused, FailurePassed,
 		NodeJoined, NodeSuspected, NodeDead, NodeBack, PeerRefused,
-		StoreAway, StoreBack, EntryLost, EntryBroken, DepartureUnkept,
+		StoreAway, StoreBack, EntryLost, EntryBroken, DepartureUnkept, StoreRestored,
 	}
 }
 
--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -70,6 +70,9 @@
 		// failed.
 		StoreCalls  tally.Counter
 		StoreErrors tally.Counter
+		// StoreEra is the store's era, which rises when the store comes back from an
+		// older copy.
+		StoreEra tally.Gauge
 	}
 
 	// Scope is a root scope whose metrics Prometheus can scrape. Close it after use.
@@ -113,6 +116,7 @@
 		ControlBytes: scope.Counter("control_bytes"),
 		StoreCalls:   scope.Counter("store_calls"),
 		StoreErrors:  scope.Counter("store_errors"),
+		StoreEra:     scope.Gauge("store_era"),
 	}
 }
 
--- a/internal/fake/kvs/store.go
+++ b/internal/fake/kvs/store.go
@@ -99,6 +99,11 @@
 	}
 }
 
+// Era returns the era, which is the first one.
+func (s *Store) Era() store.Era {
+	return 1
+}
+
 // Get reads one key.
 func (s *Store) Get(ctx context.Context, key string) (store.Item, error) {
 	if err := s.enter(ctx, func(c *Counts) { c.Reads++ }); err != nil {
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -51,6 +51,8 @@
 		Watch(ctx context.Context, key string, wait store.WatchOptions) (store.Item, error)
 		Grant(ctx context.Context, ttl time.Duration) (store.Lease, error)
 		KeepAlive(ctx context.Context, lease store.Lease) error
+		// Era returns the store's era as far as its answers have told.
+		Era() store.Era
 	}
 
 	// ConfigSource decodes configurations that another system writes to the store, in
--- a/internal/proxy/node/seeds.go
+++ b/internal/proxy/node/seeds.go
@@ -70,6 +70,8 @@
 	log   hclog.Logger
 	// unreachable is set while the store is unavailable.
 	unreachable atomic.Bool
+	// era is the store's era at the last call.
+	era atomic.Uint64
 	// changed is called when unreachable changes. It may be nil.
 	changed func(unreachable bool)
 }
@@ -114,6 +116,7 @@
 // store.
 func (s *countedStore) record(ctx context.Context, err error) error {
 	s.meter.StoreCalls.Inc(1)
+	s.noteEra()
 	if !errors.Is(err, store.ErrUnavailable) || ctx.Err() != nil {
 		if ctx.Err() == nil && s.unreachable.CompareAndSwap(true, false) {
 			events.Emit(s.log, events.StoreBack)
@@ -129,6 +132,19 @@
 	return err
 }
 
+// noteEra reports a new era of the store.
+func (s *countedStore) noteEra() {
+	era := uint64(s.Era())
+	previous := s.era.Swap(era)
+	if previous == era {
+		return
+	}
+	s.meter.StoreEra.Update(float64(era))
+	if previous != 0 {
+		events.Emit(s.log, events.StoreRestored, "era", era, "previous-era", previous)
+	}
+}
+
 func (s *countedStore) notify(unreachable bool) {
 	if s.changed != nil {
 		s.changed(unreachable)
--- a/internal/state/store/http.go
+++ b/internal/state/store/http.go
@@ -51,6 +51,11 @@
 	return &HTTP{config: config}
 }
 
+// Era returns zero, as the service's replies name none.
+func (h *HTTP) Era() Era {
+	return 0
+}
+
 // Get reads one key. The error matches ErrNotFound if the key does not exist.
 func (h *HTTP) Get(ctx context.Context, key string) (Item, error) {
 	var item Item
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -28,6 +28,12 @@
 )
 
 type (
+	// Era counts how often the service has come back from an older copy of its
+	// data. What was written after the copy is lost then, leases too, and the
+	// service gives out the same version numbers and lease ids again. Zero is not
+	// known.
+	Era uint64
+
 	// Version counts the writes of one key. The count continues after a
 	// deletion. Zero is a key that does not exist.
 	Version uint64
