--- a/internal/proxy/node/follower.go
+++ b/internal/proxy/node/follower.go
@@ -74,8 +74,8 @@
 			version = item.Version
 			s.adoptIfNewer(item.Value, "store")
 			s.pause(ctx, watchDelay)
-		case errors.Is(err, store.ErrUnchanged), errors.Is(err, store.ErrNotFound) && version == 0:
-			// No change. Without a pause, next watches the key again.
+		case errors.Is(err, store.ErrUnchanged):
+			// Without a pause, next watches the key again.
 		default:
 			// The store may have dropped the watch together with its history, so the
 			// next call reads the configuration instead.
