node: an entry whose lease has expired is written again

What operators saw: nothing; a node that started later did not find the others in the store.

Cause: after a lease is lost the node writes its entry against the version that the entry had. The entry has gone with its lease, so the write conflicts, and the reading after that finds nothing. That was an error, and each further try failed in the same way, until the process ended. Found while looking for what else believes in revisions after a store has come back older. Class: a version is kept beyond the life of what it names.

Change: an entry that is not found is created. Departures that are read back are not listed twice, and no more than fit an entry.

Evidence: TestLapsedEntryIsWrittenAgain fails without the change: "store: not found". The tests of departures pass with it, under the race detector. Their variable named store becomes kv, since the file now imports the package.

--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -158,23 +158,36 @@
 	}
 	e.writeMutex.Lock()
 	defer e.writeMutex.Unlock()
-	present, err := e.write(ctx)
-	if errors.Is(err, store.ErrConflict) {
-		if present.Version == 0 {
-			if present, err = e.store.Get(ctx, e.key()); err != nil {
-				return err
-			}
-		}
-		e.version = present.Version
-		e.restoreFrom(present)
-		_, err = e.write(ctx)
-	}
+	err := e.replace(ctx)
 	if errors.Is(err, store.ErrLeaseLost) {
 		e.lease = 0
 	}
 	return err
 }
 
+// replace writes the entry over whatever is stored: nothing, this run's entry or that of an
+// earlier run, from which it restores the departures first. The writing mutex is held.
+func (e *registration) replace(ctx context.Context) error {
+	present, err := e.write(ctx)
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	if present.Version == 0 {
+		present, err = e.store.Get(ctx, e.key())
+	} else {
+		err = nil
+	}
+	switch {
+	case err == nil:
+		e.restoreFrom(present)
+	case !errors.Is(err, store.ErrNotFound):
+		return err
+	}
+	e.version = present.Version
+	_, err = e.write(ctx)
+	return err
+}
+
 func (e *registration) key() string {
 	return entryPrefix + string(e.node.config.ID)
 }
@@ -226,7 +239,9 @@
 		events.Emit(e.node.log, events.EntryBroken, "key", present.Key, "error", err)
 		return
 	}
-	e.departures = append(l.Departures, e.departures...)
+	older := slices.DeleteFunc(slices.Clone(l.Departures), func(d departure) bool { return slices.Contains(e.departures, d) })
+	e.departures = append(older, e.departures...)
+	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
 	e.restoreDepartures(l.Departures)
 }
 
--- a/internal/proxy/node/registration_test.go
+++ b/internal/proxy/node/registration_test.go
@@ -14,17 +14,18 @@
 	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/fake/kvs"
 	"github.com/figwick/figwick/internal/state/roster"
+	"github.com/figwick/figwick/internal/state/store"
 )
 
 // run starts a new incarnation of one node. If the store is reachable, the node has
 // read its registration from it.
-func run(t *testing.T, store Store) *Node {
+func run(t *testing.T, kv Store) *Node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	n, err := New(Config{
-		ID: "node-1", Zone: "a", Address: "127.0.0.1:1", Store: store, StoreDiscovery: true,
+		ID: "node-1", Zone: "a", Address: "127.0.0.1:1", Store: kv, StoreDiscovery: true,
 		Listeners: Listeners{Callers: listener, Peers: listener}, ExtraListeners: []ExtraListener{{}},
 		Clock: clockwork.NewRealClock(), Random: eval.NewRandom(1), Log: hclog.NewNullLogger(), Scope: tally.NoopScope,
 	})
@@ -61,13 +62,13 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			store := kvs.New(clockwork.NewRealClock())
-			first := run(t, store)
+			kv := kvs.New(clockwork.NewRealClock())
+			first := run(t, kv)
 			_, err := first.Announce(word(4, roster.Serving))
 			assert.NilError(t, err)
 			c.leave(t, first)
 
-			next := run(t, store)
+			next := run(t, kv)
 			_, err = next.Announce(word(4, roster.Serving))
 			assert.ErrorIs(t, err, roster.ErrStale)
 			_, err = next.Announce(word(6, roster.Draining))
@@ -86,12 +87,25 @@
 // has read the departures acknowledged by earlier runs. If the store stays
 // unreachable, it accepts them after restoreTimeout.
 func TestAnnouncementsWaitForTheStore(t *testing.T) {
-	store := kvs.New(clockwork.NewRealClock())
-	store.Inject(kvs.Faults{Down: true})
-	n := run(t, store)
+	kv := kvs.New(clockwork.NewRealClock())
+	kv.Inject(kvs.Faults{Down: true})
+	n := run(t, kv)
 	_, err := n.Announce(word(1, roster.Serving))
 	assert.ErrorIs(t, err, roster.ErrStale)
 	n.started = n.started.Add(-restoreTimeout)
 	_, err = n.Announce(word(2, roster.Serving))
 	assert.NilError(t, err)
 }
+
+// TestLapsedEntryIsWrittenAgain guards against a node whose entry stays out of the store once
+// its lease has expired, so that new nodes don't find it.
+func TestLapsedEntryIsWrittenAgain(t *testing.T) {
+	s := kvs.New(clockwork.NewRealClock())
+	n := run(t, s)
+	s.LapseLeases()
+	_, err := s.Get(t.Context(), n.registration.key())
+	assert.ErrorIs(t, err, store.ErrNotFound)
+	assert.NilError(t, n.registration.renew(t.Context(), time.Now().Add(renewInterval)))
+	_, err = s.Get(t.Context(), n.registration.key())
+	assert.NilError(t, err)
+}
