store, platform: versions and leases belong to an era of the store

What operators saw: nothing yet. A node whose lease id the store had given out again renewed another node's lease and took its own entry, which was lost, for present; a compare-and-swap against a number that now named another write replaced that write.

Cause: versions and lease ids are numbers of one history of the store, and were compared with those of another.

Change: Version and Lease hold the era that the store's answer named. A call that names one of an earlier era is not sent: the lease counts as ended, the write as a conflict. Where only the answer shows the new era, a renewal counts as lost and a conditional write as unknown, since the store may have done it on a number that stood for something else. Versions of a later era are later, so accept goes on to tell a stale read of the head from a newer one. The watch of heads starts from nothing after a failed call, as the follower's does.

Three new entries of the contract run against the stand-in and the HTTP client. Tests pass versions as structs instead of numbers; what they check is unchanged.

Why it works: all that is kept of a store's answers names its era, so nothing of an earlier one can match.

--- a/internal/fake/kvs/contract_test.go
+++ b/internal/fake/kvs/contract_test.go
@@ -62,13 +62,13 @@
 		ctx := t.Context()
 		_, err := f.platform.Get(ctx, "a/b c")
 		assert.ErrorIs(t, err, store.ErrNotFound)
-		first, err := f.platform.CAS(ctx, "a/b c", []byte("1"), 0, 0)
+		first, err := f.platform.CAS(ctx, "a/b c", []byte("1"), store.Version{}, store.Lease{})
 		assert.NilError(t, err)
-		_, err = f.platform.CAS(ctx, "a/b c", []byte("2"), 0, 0)
+		_, err = f.platform.CAS(ctx, "a/b c", []byte("2"), store.Version{}, store.Lease{})
 		assert.ErrorIs(t, err, store.ErrConflict)
-		second, err := f.platform.CAS(ctx, "a/b c", []byte("2"), first.Version, 0)
+		second, err := f.platform.CAS(ctx, "a/b c", []byte("2"), first.Version, store.Lease{})
 		assert.NilError(t, err)
-		assert.Check(t, second.Version > first.Version)
+		assert.Check(t, second.Version.Later(first.Version))
 		found, err := f.platform.Get(ctx, "a/b c")
 		assert.NilError(t, err)
 		assert.Equal(t, string(found.Value), "2")
@@ -76,19 +76,19 @@
 	}},
 	{"delete needs the version, and versions go on", func(t *testing.T, f *fixture) {
 		ctx := t.Context()
-		item, err := f.platform.CAS(ctx, "k", []byte("1"), 0, 0)
+		item, err := f.platform.CAS(ctx, "k", []byte("1"), store.Version{}, store.Lease{})
 		assert.NilError(t, err)
-		assert.ErrorIs(t, f.platform.Delete(ctx, "k", item.Version+1), store.ErrConflict)
+		assert.ErrorIs(t, f.platform.Delete(ctx, "k", store.Version{Era: item.Version.Era, Number: item.Version.Number + 1}), store.ErrConflict)
 		assert.NilError(t, f.platform.Delete(ctx, "k", item.Version))
 		assert.ErrorIs(t, f.platform.Delete(ctx, "k", item.Version), store.ErrNotFound)
-		again, err := f.platform.CAS(ctx, "k", []byte("2"), 0, 0)
+		again, err := f.platform.CAS(ctx, "k", []byte("2"), store.Version{}, store.Lease{})
 		assert.NilError(t, err)
-		assert.Check(t, again.Version > item.Version)
+		assert.Check(t, again.Version.Later(item.Version))
 	}},
 	{"list by prefix", func(t *testing.T, f *fixture) {
 		ctx := t.Context()
 		for _, key := range []string{"x/2", "y/1", "x/1"} {
-			_, err := f.platform.CAS(ctx, key, []byte("v"), 0, 0)
+			_, err := f.platform.CAS(ctx, key, []byte("v"), store.Version{}, store.Lease{})
 			assert.NilError(t, err)
 		}
 		items, err := f.platform.List(ctx, "x/")
@@ -97,14 +97,14 @@
 		assert.Equal(t, items[0].Key, "x/1")
 	}},
 	{"too large a value changes nothing", func(t *testing.T, f *fixture) {
-		_, err := f.platform.CAS(t.Context(), "k", make([]byte, store.MaxValueBytes+1), 0, 0)
+		_, err := f.platform.CAS(t.Context(), "k", make([]byte, store.MaxValueBytes+1), store.Version{}, store.Lease{})
 		assert.ErrorIs(t, err, store.ErrTooLarge)
 		_, err = f.platform.Get(t.Context(), "k")
 		assert.ErrorIs(t, err, store.ErrNotFound)
 	}},
 	{"watch returns a later version", func(t *testing.T, f *fixture) {
 		ctx := t.Context()
-		item, err := f.platform.CAS(ctx, "k", []byte("1"), 0, 0)
+		item, err := f.platform.CAS(ctx, "k", []byte("1"), store.Version{}, store.Lease{})
 		assert.NilError(t, err)
 		got, err := f.platform.Watch(ctx, "k", store.WatchOptions{Timeout: time.Hour})
 		assert.NilError(t, err)
@@ -116,7 +116,7 @@
 		}()
 		assert.NilError(t, f.clock.BlockUntilContext(ctx, 1))
 		assert.Equal(t, f.Counts().Waiting, 1)
-		_, err = f.platform.CAS(ctx, "k", []byte("2"), item.Version, 0)
+		_, err = f.platform.CAS(ctx, "k", []byte("2"), item.Version, store.Lease{})
 		assert.NilError(t, err)
 		assert.Equal(t, string((<-found).Value), "2")
 	}},
@@ -135,7 +135,7 @@
 		ctx := t.Context()
 		lease, err := f.platform.Grant(ctx, time.Minute)
 		assert.NilError(t, err)
-		_, err = f.platform.CAS(ctx, "k", []byte("1"), 0, lease)
+		_, err = f.platform.CAS(ctx, "k", []byte("1"), store.Version{}, lease)
 		assert.NilError(t, err)
 		f.clock.Advance(50 * time.Second)
 		assert.NilError(t, f.platform.KeepAlive(ctx, lease))
@@ -146,12 +146,12 @@
 		_, err = f.platform.Get(ctx, "k")
 		assert.ErrorIs(t, err, store.ErrNotFound)
 		assert.ErrorIs(t, f.platform.KeepAlive(ctx, lease), store.ErrLeaseLost)
-		_, err = f.platform.CAS(ctx, "k", []byte("1"), 0, lease)
+		_, err = f.platform.CAS(ctx, "k", []byte("1"), store.Version{}, lease)
 		assert.ErrorIs(t, err, store.ErrLeaseLost)
 	}},
 	{"a lost reply hides a write that was done", func(t *testing.T, f *fixture) {
 		f.Inject(kvs.Faults{LoseReplies: 1})
-		_, err := f.platform.CAS(t.Context(), "k", []byte("1"), 0, 0)
+		_, err := f.platform.CAS(t.Context(), "k", []byte("1"), store.Version{}, store.Lease{})
 		assert.ErrorIs(t, err, store.ErrUnavailable)
 		found, err := f.platform.Get(t.Context(), "k")
 		assert.NilError(t, err)
@@ -159,7 +159,7 @@
 	}},
 	{"down has no effect", func(t *testing.T, f *fixture) {
 		f.Inject(kvs.Faults{Down: true})
-		_, err := f.platform.CAS(t.Context(), "k", []byte("1"), 0, 0)
+		_, err := f.platform.CAS(t.Context(), "k", []byte("1"), store.Version{}, store.Lease{})
 		assert.ErrorIs(t, err, store.ErrUnavailable)
 		f.Inject(kvs.Faults{})
 		_, err = f.platform.Get(t.Context(), "k")
@@ -167,17 +167,73 @@
 	}},
 	{"stale reads go back, writes do not", func(t *testing.T, f *fixture) {
 		ctx := t.Context()
-		first, err := f.platform.CAS(ctx, "k", []byte("1"), 0, 0)
+		first, err := f.platform.CAS(ctx, "k", []byte("1"), store.Version{}, store.Lease{})
 		assert.NilError(t, err)
-		_, err = f.platform.CAS(ctx, "k", []byte("2"), first.Version, 0)
+		_, err = f.platform.CAS(ctx, "k", []byte("2"), first.Version, store.Lease{})
 		assert.NilError(t, err)
 		f.Inject(kvs.Faults{Stale: 1})
 		old, err := f.platform.Get(ctx, "k")
 		assert.NilError(t, err)
 		assert.Equal(t, string(old.Value), "1")
-		_, err = f.platform.CAS(ctx, "k", []byte("3"), old.Version, 0)
+		_, err = f.platform.CAS(ctx, "k", []byte("3"), old.Version, store.Lease{})
 		assert.ErrorIs(t, err, store.ErrConflict)
 	}},
+	{"a restore takes back what was written and its leases", func(t *testing.T, f *fixture) {
+		ctx := t.Context()
+		_, err := f.platform.CAS(ctx, "k", []byte("1"), store.Version{}, store.Lease{})
+		assert.NilError(t, err)
+		saved := f.Snapshot()
+		item, err := f.platform.Get(ctx, "k")
+		assert.NilError(t, err)
+		item, err = f.platform.CAS(ctx, "k", []byte("2"), item.Version, store.Lease{})
+		assert.NilError(t, err)
+		lease, err := f.platform.Grant(ctx, time.Minute)
+		assert.NilError(t, err)
+		f.Restore(saved)
+		old, err := f.platform.Get(ctx, "k")
+		assert.NilError(t, err)
+		assert.Equal(t, string(old.Value), "1")
+		assert.Check(t, old.Version.Later(item.Version), "versions of a later era are later")
+		assert.ErrorIs(t, f.platform.KeepAlive(ctx, lease), store.ErrLeaseLost)
+	}},
+	{"versions and leases of an earlier era do not name those given out again", func(t *testing.T, f *fixture) {
+		ctx := t.Context()
+		saved := f.Snapshot()
+		mine, err := f.platform.CAS(ctx, "k", []byte("mine"), store.Version{}, store.Lease{})
+		assert.NilError(t, err)
+		lease, err := f.platform.Grant(ctx, time.Minute)
+		assert.NilError(t, err)
+		f.Restore(saved)
+		other, err := f.Store.CAS(ctx, "k", []byte("other"), store.Version{}, store.Lease{})
+		assert.NilError(t, err)
+		assert.Equal(t, other.Version.Number, mine.Version.Number)
+		again, err := f.Store.Grant(ctx, time.Minute)
+		assert.NilError(t, err)
+		assert.Equal(t, again.ID, lease.ID)
+		found, err := f.platform.Watch(ctx, "k", store.WatchOptions{After: mine.Version, Timeout: 0})
+		assert.NilError(t, err)
+		assert.Equal(t, string(found.Value), "other")
+		_, err = f.platform.CAS(ctx, "k", []byte("mine"), mine.Version, store.Lease{})
+		assert.ErrorIs(t, err, store.ErrConflict)
+		assert.ErrorIs(t, f.platform.Delete(ctx, "k", mine.Version), store.ErrConflict)
+		assert.ErrorIs(t, f.platform.KeepAlive(ctx, lease), store.ErrLeaseLost)
+		_, err = f.platform.CAS(ctx, "n", []byte("mine"), store.Version{}, lease)
+		assert.ErrorIs(t, err, store.ErrLeaseLost)
+		assert.ErrorIs(t, f.platform.Revoke(ctx, lease), store.ErrLeaseLost)
+		assert.NilError(t, f.Store.KeepAlive(ctx, again))
+	}},
+	{"a restore cuts watches that wait", func(t *testing.T, f *fixture) {
+		ctx := t.Context()
+		saved := f.Snapshot()
+		ended := make(chan error, 1)
+		go func() {
+			_, err := f.platform.Watch(ctx, "k", store.WatchOptions{Timeout: time.Hour})
+			ended <- err
+		}()
+		assert.NilError(t, f.clock.BlockUntilContext(ctx, 1))
+		f.Restore(saved)
+		assert.ErrorIs(t, <-ended, store.ErrUnavailable)
+	}},
 	{"calls are counted", func(t *testing.T, f *fixture) {
 		before := f.Counts()
 		_, err := f.platform.Get(t.Context(), "k")
--- a/internal/fake/kvs/handler.go
+++ b/internal/fake/kvs/handler.go
@@ -29,15 +29,45 @@
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
-		mux.ServeHTTP(w, r)
+		mux.ServeHTTP(&eraWriter{ResponseWriter: w, store: s}, r)
 	})
 }
 
+// eraWriter adds the Store's era to the header of a reply.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+// WriteHeader writes the header with the era.
+func (e *eraWriter) WriteHeader(status int) {
+	e.Header().Set(store.EraHeader, strconv.FormatUint(uint64(e.store.Era()), 10))
+	e.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body.
+func (e *eraWriter) Write(p []byte) (int, error) {
+	if e.Header().Get(store.EraHeader) == "" {
+		e.WriteHeader(http.StatusOK)
+	}
+	return e.ResponseWriter.Write(p)
+}
+
+// version and lease return the request's numbers in the present era, as the service knows no
+// other.
+func (s *Store) version(text string) store.Version {
+	return store.Version{Era: s.Era(), Number: parse(text)}
+}
+
+func (s *Store) lease(text string) store.Lease {
+	return store.Lease{Era: s.Era(), ID: parse(text)}
+}
+
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	if !query.Has("after") {
 		item, err := s.Get(r.Context(), r.PathValue("key"))
-		reply(w, item, err)
+		reply(w, wireItem(item), err)
 		return
 	}
 	wait, err := time.ParseDuration(query.Get("wait"))
@@ -46,10 +76,10 @@
 		return
 	}
 	item, err := s.Watch(r.Context(), r.PathValue("key"), store.WatchOptions{
-		After:   parse[store.Version](query.Get("after")),
+		After:   s.version(query.Get("after")),
 		Timeout: wait,
 	})
-	reply(w, item, err)
+	reply(w, wireItem(item), err)
 }
 
 func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
@@ -60,18 +90,21 @@
 	}
 	query := r.URL.Query()
 	item, err := s.CAS(r.Context(), r.PathValue("key"), value,
-		parse[store.Version](query.Get("version")), parse[store.Lease](query.Get("lease")))
-	reply(w, item, err)
+		s.version(query.Get("version")), s.lease(query.Get("lease")))
+	reply(w, wireItem(item), err)
 }
 
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
-	version := parse[store.Version](r.URL.Query().Get("version"))
-	reply(w, struct{}{}, s.Delete(r.Context(), r.PathValue("key"), version))
+	reply(w, struct{}{}, s.Delete(r.Context(), r.PathValue("key"), s.version(r.URL.Query().Get("version"))))
 }
 
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
 	items, err := s.List(r.Context(), r.URL.Query().Get("prefix"))
-	reply(w, items, err)
+	found := make([]store.WireItem, len(items))
+	for i, item := range items {
+		found[i] = wireItem(item)
+	}
+	reply(w, found, err)
 }
 
 func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
@@ -81,20 +114,24 @@
 		return
 	}
 	id, err := s.Grant(r.Context(), ttl)
-	reply(w, id, err)
+	reply(w, id.ID, err)
 }
 
 func (s *Store) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
-	reply(w, struct{}{}, s.KeepAlive(r.Context(), parse[store.Lease](r.PathValue("id"))))
+	reply(w, struct{}{}, s.KeepAlive(r.Context(), s.lease(r.PathValue("id"))))
 }
 
 func (s *Store) serveRevoke(w http.ResponseWriter, r *http.Request) {
-	reply(w, struct{}{}, s.Revoke(r.Context(), parse[store.Lease](r.PathValue("id"))))
+	reply(w, struct{}{}, s.Revoke(r.Context(), s.lease(r.PathValue("id"))))
+}
+
+func wireItem(item store.Item) store.WireItem {
+	return store.WireItem{Key: item.Key, Value: item.Value, Version: item.Version.Number}
 }
 
-func parse[T ~uint64](text string) T {
+func parse(text string) uint64 {
 	n, _ := strconv.ParseUint(text, 10, 64)
-	return T(n)
+	return n
 }
 
 func reply(w http.ResponseWriter, value any, err error) {
--- a/internal/fake/kvs/store.go
+++ b/internal/fake/kvs/store.go
@@ -43,17 +43,28 @@
 		clock  clockwork.Clock
 		mutex  sync.Mutex
 		items  map[string]*record
-		leases map[store.Lease]*lease
-		last   store.Lease
+		leases map[uint64]*lease
+		last   uint64
+		era    store.Era
 		faults Faults
 		counts Counts
+		// restored is closed when the Store is restored.
+		restored chan struct{}
+	}
+
+	// Snapshot is a copy of a Store's data for Restore.
+	Snapshot struct {
+		items  map[string]record
+		leases map[uint64]lease
+		last   uint64
 	}
 
 	record struct {
-		value   []byte
-		version store.Version
+		value []byte
+		// number is that of the version.
+		number  uint64
 		exists  bool
-		lease   store.Lease
+		lease   uint64
 		past    []store.Item
 		changed chan struct{}
 	}
@@ -70,12 +81,56 @@
 // New returns an empty Store.
 func New(clock clockwork.Clock) *Store {
 	return &Store{
-		clock:  clock,
-		items:  map[string]*record{},
-		leases: map[store.Lease]*lease{},
+		clock:    clock,
+		items:    map[string]*record{},
+		leases:   map[uint64]*lease{},
+		era:      1,
+		restored: make(chan struct{}),
 	}
 }
 
+// Snapshot returns a copy of the data.
+func (s *Store) Snapshot() Snapshot {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	snapshot := Snapshot{items: map[string]record{}, leases: map[uint64]lease{}, last: s.last}
+	for key, r := range s.items {
+		snapshot.items[key] = *r
+	}
+	for id, l := range s.leases {
+		snapshot.leases[id] = *l
+	}
+	return snapshot
+}
+
+// Restore returns to the data of a snapshot and begins a new era. What has been written
+// since is gone, and its versions and lease ids are given out again. Watches that wait are
+// cut.
+func (s *Store) Restore(snapshot Snapshot) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.items = map[string]*record{}
+	for key, r := range snapshot.items {
+		r.changed = make(chan struct{})
+		s.items[key] = &r
+	}
+	s.leases = map[uint64]*lease{}
+	for id, l := range snapshot.leases {
+		s.leases[id] = &l
+	}
+	s.last = snapshot.last
+	s.era++
+	close(s.restored)
+	s.restored = make(chan struct{})
+}
+
+// Era returns the present era.
+func (s *Store) Era() store.Era {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
+
 // Inject replaces the faults.
 func (s *Store) Inject(f Faults) {
 	s.mutex.Lock()
@@ -99,11 +154,6 @@
 	}
 }
 
-// Era returns the era, which is the first one.
-func (s *Store) Era() store.Era {
-	return 1
-}
-
 // Get reads one key.
 func (s *Store) Get(ctx context.Context, key string) (store.Item, error) {
 	if err := s.enter(ctx, func(c *Counts) { c.Reads++ }); err != nil {
@@ -124,19 +174,19 @@
 	if len(value) > store.MaxValueBytes {
 		return store.Item{}, store.ErrTooLarge
 	}
-	if l != 0 && s.leases[l] == nil {
+	if !l.IsZero() && (l.Era != s.era || s.leases[l.ID] == nil) {
 		return store.Item{}, store.ErrLeaseLost
 	}
 	r := s.record(key)
-	if standing(r) != version {
+	if !s.stands(r, version) {
 		return store.Item{}, store.ErrConflict
 	}
-	r.set(key, slices.Clone(value), true)
-	r.lease = l
+	r.set(s.item(key, r), slices.Clone(value), true)
+	r.lease = l.ID
 	if s.loseReply() {
 		return store.Item{}, store.ErrUnavailable
 	}
-	return store.Item{Key: key, Version: r.version}, nil
+	return store.Item{Key: key, Version: s.item(key, r).Version}, nil
 }
 
 // Delete removes a key that stands at a version.
@@ -149,10 +199,10 @@
 	if !r.exists {
 		return store.ErrNotFound
 	}
-	if r.version != version {
+	if !s.stands(r, version) {
 		return store.ErrConflict
 	}
-	r.set(key, nil, false)
+	r.set(s.item(key, r), nil, false)
 	if s.loseReply() {
 		return store.ErrUnavailable
 	}
@@ -168,7 +218,7 @@
 	var items []store.Item
 	for key, r := range s.items {
 		if r.exists && strings.HasPrefix(key, prefix) {
-			items = append(items, store.Item{Key: key, Version: r.version})
+			items = append(items, store.Item{Key: key, Version: s.item(key, r).Version})
 		}
 	}
 	slices.SortFunc(items, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
@@ -187,9 +237,10 @@
 		s.counts.Waiting--
 		s.mutex.Unlock()
 	}()
+	restored := s.restored
 	for {
 		r := s.record(key)
-		if r.version > wait.After {
+		if r.number > 0 && s.item(key, r).Version.Later(wait.After) {
 			return s.read(key)
 		}
 		changed := r.changed
@@ -200,6 +251,8 @@
 		case <-changed:
 		case <-timer.Chan():
 			ended = true
+		case <-restored:
+			err = store.ErrUnavailable
 		case <-ctx.Done():
 			err = store.ErrUnavailable
 		}
@@ -219,12 +272,12 @@
 // Grant makes a lease.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
 	if err := s.enter(ctx, func(c *Counts) { c.Leases++ }); err != nil {
-		return 0, err
+		return store.Lease{}, err
 	}
 	defer s.mutex.Unlock()
 	s.last++
 	s.leases[s.last] = &lease{ttl: ttl, expires: s.clock.Now().Add(ttl)}
-	return s.last, nil
+	return store.Lease{Era: s.era, ID: s.last}, nil
 }
 
 // KeepAlive renews a lease.
@@ -233,8 +286,8 @@
 		return err
 	}
 	defer s.mutex.Unlock()
-	l, found := s.leases[id]
-	if !found {
+	l, found := s.leases[id.ID]
+	if !found || id.Era != s.era {
 		return store.ErrLeaseLost
 	}
 	l.expires = s.clock.Now().Add(l.ttl)
@@ -247,7 +300,10 @@
 		return err
 	}
 	defer s.mutex.Unlock()
-	s.end(id)
+	if id.Era != s.era {
+		return store.ErrLeaseLost
+	}
+	s.end(id.ID)
 	return nil
 }
 
@@ -281,11 +337,11 @@
 	}
 }
 
-func (s *Store) end(id store.Lease) {
+func (s *Store) end(id uint64) {
 	delete(s.leases, id)
 	for key, r := range s.items {
 		if r.exists && r.lease == id {
-			r.set(key, nil, false)
+			r.set(s.item(key, r), nil, false)
 		}
 	}
 }
@@ -312,7 +368,7 @@
 	if back := min(s.faults.Stale, len(r.past)); back > 0 {
 		return found(r.past[len(r.past)-back])
 	}
-	return found(r.item(key))
+	return found(s.item(key, r))
 }
 
 func found(item store.Item) (store.Item, error) {
@@ -322,12 +378,23 @@
 	return item, nil
 }
 
-func (r *record) item(key string) store.Item {
-	return store.Item{Key: key, Value: r.value, Version: r.version}
+// item returns a record's value at its version.
+func (s *Store) item(key string, r *record) store.Item {
+	return store.Item{Key: key, Value: r.value, Version: store.Version{Era: s.era, Number: r.number}}
 }
 
-func (r *record) set(key string, value []byte, exists bool) {
-	r.past = append(r.past, r.item(key))
+// stands reports whether a record is at a version; the zero value is that of a key that
+// does not exist.
+func (s *Store) stands(r *record, version store.Version) bool {
+	if !r.exists {
+		return version.IsZero()
+	}
+	return version == store.Version{Era: s.era, Number: r.number}
+}
+
+// set replaces the value after the present item.
+func (r *record) set(present store.Item, value []byte, exists bool) {
+	r.past = append(r.past, present)
 	if len(r.past) > pastVersions {
 		r.past = r.past[1:]
 	}
@@ -336,15 +403,8 @@
 	}
 	r.value = value
 	r.exists = exists
-	r.version++
+	r.number++
 	r.lease = 0
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
-
-func standing(r *record) store.Version {
-	if !r.exists {
-		return 0
-	}
-	return r.version
-}
--- a/internal/proxy/node/configs.go
+++ b/internal/proxy/node/configs.go
@@ -56,7 +56,7 @@
 // watch waits for new configuration heads in the store while this node is a
 // watcher. It returns when the context ends.
 func (c *configSync) watch(ctx context.Context) error {
-	version := store.Version(0)
+	var version store.Version
 	for ctx.Err() == nil {
 		if !c.isWatcher() {
 			c.pause(ctx)
@@ -64,6 +64,9 @@
 		}
 		item, err := c.store.Watch(ctx, accept.HeadKey, store.WatchOptions{After: version, Timeout: watchTimeout})
 		if err != nil {
+			// What the store has written meanwhile is not known, nor whether it has come
+			// back from an older copy.
+			version = store.Version{}
 			c.pause(ctx)
 			continue
 		}
--- a/internal/proxy/node/follower.go
+++ b/internal/proxy/node/follower.go
@@ -62,7 +62,7 @@
 
 // watch watches the store while this node is a poller, until the context ends.
 func (s *sourceFollower) watch(ctx context.Context) error {
-	version := store.Version(0)
+	var version store.Version
 	for ctx.Err() == nil {
 		if !s.isPoller() {
 			s.pause(ctx, pollerInterval)
@@ -79,7 +79,7 @@
 		default:
 			// The store may have dropped the watch together with its history, so the
 			// next call reads the configuration instead.
-			version = 0
+			version = store.Version{}
 			s.pause(ctx, watchRetryDelay)
 		}
 	}
@@ -90,7 +90,7 @@
 // newer one. If there is no item yet, a poller waits for the first.
 func (s *sourceFollower) next(ctx context.Context, version store.Version) (store.Item, error) {
 	key := s.node.config.Source.Key()
-	if version == 0 {
+	if version.IsZero() {
 		item, err := s.store.Get(ctx, key)
 		if err == nil || !errors.Is(err, store.ErrNotFound) || !s.isPoller() {
 			return item, err
--- a/internal/proxy/node/ledgers.go
+++ b/internal/proxy/node/ledgers.go
@@ -68,7 +68,7 @@
 		b.writeDone(name, false)
 		return true
 	}
-	_, err = b.store.CAS(ctx, key, text, item.Version, 0)
+	_, err = b.store.CAS(ctx, key, text, item.Version, store.Lease{})
 	switch {
 	case err == nil:
 		b.writeDone(name, true)
--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -133,8 +133,8 @@
 		if !errors.Is(err, store.ErrLeaseLost) {
 			return err
 		}
-		events.Emit(e.node.log, events.EntryLost, "lease", uint64(e.lease))
-		e.registered, e.lease = false, 0
+		events.Emit(e.node.log, events.EntryLost, "lease", e.lease.ID)
+		e.registered, e.lease = false, store.Lease{}
 	}
 	if err := e.register(ctx); err != nil {
 		return err
@@ -149,7 +149,7 @@
 // earlier run, as only this node writes this key, but restores the departures from
 // it first.
 func (e *registration) register(ctx context.Context) error {
-	if e.lease == 0 {
+	if e.lease.IsZero() {
 		lease, err := e.store.Grant(ctx, entryLease)
 		if err != nil {
 			return err
@@ -160,7 +160,7 @@
 	defer e.writeMutex.Unlock()
 	err := e.replace(ctx)
 	if errors.Is(err, store.ErrLeaseLost) {
-		e.lease = 0
+		e.lease = store.Lease{}
 	}
 	return err
 }
@@ -172,7 +172,7 @@
 	if !errors.Is(err, store.ErrConflict) {
 		return err
 	}
-	if present.Version == 0 {
+	if present.Version.IsZero() {
 		present, err = e.store.Get(ctx, e.key())
 	} else {
 		err = nil
@@ -221,7 +221,7 @@
 	}
 	e.departures = append(e.departures, d)
 	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
-	if e.version == 0 || e.store.unreachable.Load() {
+	if e.version.IsZero() || e.store.unreachable.Load() {
 		return
 	}
 	ctx, done := context.WithTimeout(context.Background(), announceTimeout)
--- a/internal/proxy/node/seeds.go
+++ b/internal/proxy/node/seeds.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return
 	}
-	_, _ = c.store.CAS(ctx, seedsKey, text, item.Version, 0)
+	_, _ = c.store.CAS(ctx, seedsKey, text, item.Version, store.Lease{})
 }
 
 // countedStore wraps the platform's store. It counts the calls and reports when the
--- a/internal/state/accept/apply.go
+++ b/internal/state/accept/apply.go
@@ -254,7 +254,7 @@
 func (a *Applier) writeChunks(ctx context.Context, missing map[string][]byte) error {
 	for _, name := range slices.Sorted(maps.Keys(missing)) {
 		err := a.retry(ctx, func() error {
-			_, err := a.Store.CAS(ctx, chunkPrefix+name, missing[name], 0, 0)
+			_, err := a.Store.CAS(ctx, chunkPrefix+name, missing[name], store.Version{}, store.Lease{})
 			if errors.Is(err, store.ErrConflict) {
 				return nil
 			}
@@ -278,7 +278,7 @@
 	attempted := false
 	result := Result{State: Unresolved}
 	err = a.retry(ctx, func() error {
-		_, err := a.Store.CAS(ctx, HeadKey, text, base.version, 0)
+		_, err := a.Store.CAS(ctx, HeadKey, text, base.version, store.Lease{})
 		attempted = true
 		switch {
 		case err == nil:
@@ -307,8 +307,8 @@
 	if err != nil {
 		return Result{State: Unresolved}, err
 	}
-	if current.version <= base.version {
-		return Result{State: Unresolved}, errors.Newf("accept: stale read of the head: version %d, expected above %d", current.version, base.version)
+	if !current.version.Later(base.version) {
+		return Result{State: Unresolved}, errors.Newf("accept: stale read of the head: version %d, expected above %d", current.version.Number, base.version.Number)
 	}
 	if current.head.Apply == next.Apply {
 		return Result{State: Accepted, Revision: next.Revision, Current: current.head.AcceptedApply}, nil
--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	item, err := r.write(ctx, c, 0, lease)
+	item, err := r.write(ctx, c, store.Version{}, lease)
 	if errors.Is(err, store.ErrLeaseLost) {
 		r.dropLease(lease)
 	}
@@ -165,7 +165,7 @@
 	return r.config.Store.Delete(ctx, c.key, c.version)
 }
 
-// write replaces the given version of the record; version 0 creates it.
+// write replaces the given version of the record; the zero version creates it.
 func (r *Registry) write(ctx context.Context, c *Claim, version store.Version, lease store.Lease) (store.Item, error) {
 	value, err := json.Marshal(c.record)
 	if err != nil {
@@ -202,12 +202,12 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.config.Clock.Now()
-	if r.lease != 0 && now.Sub(r.leasedAt) < leaseInterval {
+	if !r.lease.IsZero() && now.Sub(r.leasedAt) < leaseInterval {
 		return r.lease, nil
 	}
 	lease, err := r.config.Store.Grant(ctx, Window+leaseInterval)
 	if err != nil {
-		return 0, errors.Mark(errors.Wrap(err, "keys: lease"), ErrUnavailable)
+		return store.Lease{}, errors.Mark(errors.Wrap(err, "keys: lease"), ErrUnavailable)
 	}
 	r.lease = lease
 	r.leasedAt = now
@@ -219,7 +219,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.lease == lease {
-		r.lease = 0
+		r.lease = store.Lease{}
 	}
 }
 
--- a/internal/state/store/era.go
+++ b/internal/state/store/era.go
@@ -34,6 +34,31 @@
 	t.latest.Store(0)
 }
 
+// CheckWrite returns ErrLeaseLost or ErrConflict for a write that cannot be done because
+// its lease or its version is of an earlier era. Such a write must not be sent: the number
+// may have been given out again.
+func (t *EraTracker) CheckWrite(version Version, lease Lease) error {
+	era := t.Era()
+	switch {
+	case !lease.IsZero() && lease.Era != era:
+		return ErrLeaseLost
+	case !version.IsZero() && version.Era != era:
+		return ErrConflict
+	default:
+		return nil
+	}
+}
+
+// CheckWritten returns ErrUnavailable if a write named a version or a lease of another era
+// than the one that answered: the store was restored in between, and what it compared was
+// not what the caller knew.
+func CheckWritten(version Version, lease Lease, answered Era) error {
+	if !version.IsZero() && version.Era != answered || !lease.IsZero() && lease.Era != answered {
+		return ErrUnavailable
+	}
+	return nil
+}
+
 // ParseEra parses the header that holds the store's era. A store that names none has era 0.
 func ParseEra(text string) (Era, error) {
 	if text == "" {
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -34,27 +34,54 @@
 	// known.
 	Era uint64
 
-	// Version counts the writes of one key. The count continues after a
-	// deletion. Zero is a key that does not exist.
-	Version uint64
+	// Version identifies one write of one key. The zero value is a key that does not
+	// exist. A version of an earlier era no longer identifies any write, whatever its
+	// number.
+	Version struct {
+		Era Era
+		// Number grows with each write of the key within an era, across deletions
+		// too.
+		Number uint64
+	}
 
-	// Lease is the id of a lease; zero means no lease. Keys written with a lease
-	// are deleted when it ends.
-	Lease uint64
+	// Lease identifies a lease. The zero value is no lease. Keys written with a lease
+	// are deleted when it ends. A lease of an earlier era counts as ended.
+	Lease struct {
+		Era Era
+		ID  uint64
+	}
 
 	// Item is a key's value at a version.
 	Item struct {
-		Key     string  `json:"key"`
-		Value   []byte  `json:"value"`
-		Version Version `json:"version"`
+		Key     string
+		Value   []byte
+		Version Version
 	}
 
 	// WatchOptions says which version a watch waits for, and how long.
 	WatchOptions struct {
-		// After is the version that the caller knows. The watch waits for a
-		// higher one; zero waits for the first.
+		// After is the version that the caller knows. The watch waits for a later
+		// one; the zero value waits for the first.
 		After Version
 		// Timeout is how long the service waits at most.
 		Timeout time.Duration
 	}
 )
+
+// IsZero reports whether v is the version of a key that does not exist.
+func (v Version) IsZero() bool {
+	return v.Number == 0
+}
+
+// Later reports whether v was written after w.
+func (v Version) Later(w Version) bool {
+	if v.Era != w.Era {
+		return v.Era > w.Era
+	}
+	return v.Number > w.Number
+}
+
+// IsZero reports whether l is no lease.
+func (l Lease) IsZero() bool {
+	return l.ID == 0
+}
