--- a/internal/proxy/node/seeds.go
+++ b/internal/proxy/node/seeds.go
@@ -74,6 +74,9 @@
 	era atomic.Uint64
 	// changed is called when unreachable changes. It may be nil.
 	changed func(unreachable bool)
+	// onRestore are called when the store has come back from an older copy, with its new
+	// era. They must not call the store.
+	onRestore []func(era store.Era)
 }
 
 func (s *countedStore) Get(ctx context.Context, key string) (store.Item, error) {
@@ -142,6 +145,9 @@
 	s.meter.StoreEra.Update(float64(era))
 	if previous != 0 {
 		events.Emit(s.log, events.StoreRestored, "era", era, "previous-era", previous)
+		for _, f := range s.onRestore {
+			f(store.Era(era))
+		}
 	}
 }
 
