--- a/internal/proxy/node/registration_test.go
+++ b/internal/proxy/node/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,21 +11,24 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/fake/kvs"
+	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/state/roster"
+	"github.com/figwick/figwick/internal/state/store"
 )
 
 // run starts a new incarnation of one node. If the store is reachable, the node has
 // read its registration from it.
-func run(t *testing.T, store Store) *Node {
+func run(t *testing.T, kv Store) *Node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	n, err := New(Config{
-		ID: "node-1", Zone: "a", Address: "127.0.0.1:1", Store: store, StoreDiscovery: true,
+		ID: "node-1", Zone: "a", Address: "127.0.0.1:1", Store: kv, StoreDiscovery: true,
 		Listeners: Listeners{Callers: listener, Peers: listener}, ExtraListeners: []ExtraListener{{}},
 		Clock: clockwork.NewRealClock(), Random: eval.NewRandom(1), Log: hclog.NewNullLogger(), Scope: tally.NoopScope,
 	})
@@ -61,13 +65,13 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			store := kvs.New(clockwork.NewRealClock())
-			first := run(t, store)
+			kv := kvs.New(clockwork.NewRealClock())
+			first := run(t, kv)
 			_, err := first.Announce(word(4, roster.Serving))
 			assert.NilError(t, err)
 			c.leave(t, first)
 
-			next := run(t, store)
+			next := run(t, kv)
 			_, err = next.Announce(word(4, roster.Serving))
 			assert.ErrorIs(t, err, roster.ErrStale)
 			_, err = next.Announce(word(6, roster.Draining))
@@ -86,12 +90,69 @@
 // has read the departures acknowledged by earlier runs. If the store stays
 // unreachable, it accepts them after restoreTimeout.
 func TestAnnouncementsWaitForTheStore(t *testing.T) {
-	store := kvs.New(clockwork.NewRealClock())
-	store.Inject(kvs.Faults{Down: true})
-	n := run(t, store)
+	kv := kvs.New(clockwork.NewRealClock())
+	kv.Inject(kvs.Faults{Down: true})
+	n := run(t, kv)
 	_, err := n.Announce(word(1, roster.Serving))
 	assert.ErrorIs(t, err, roster.ErrStale)
 	n.started = n.started.Add(-restoreTimeout)
 	_, err = n.Announce(word(2, roster.Serving))
 	assert.NilError(t, err)
 }
+
+// TestLapsedEntryIsWrittenAgain guards against a node whose entry stays out of the store once
+// its lease has expired, so that new nodes don't find it.
+func TestLapsedEntryIsWrittenAgain(t *testing.T) {
+	s := kvs.New(clockwork.NewRealClock())
+	n := run(t, s)
+	s.LapseLeases()
+	_, err := s.Get(t.Context(), n.registration.key())
+	assert.ErrorIs(t, err, store.ErrNotFound)
+	assert.NilError(t, n.registration.renew(t.Context(), time.Now().Add(renewInterval)))
+	_, err = s.Get(t.Context(), n.registration.key())
+	assert.NilError(t, err)
+}
+
+// TestRestoredEntryIsWrittenAgain guards against entries that stay out of the store for the
+// rest of a renewal interval after the store has come back from a copy without them. The node
+// learns of that from another one, as it does not watch the store itself. Users count on entries
+// that are back two seconds after the store.
+func TestRestoredEntryIsWrittenAgain(t *testing.T) {
+	kv := kvs.New(clockwork.NewRealClock())
+	saved := kv.Snapshot()
+	n := run(t, kv)
+	assert.Check(t, n.registration.registered)
+	ctx, cancel := context.WithCancel(t.Context())
+	var loop sync.WaitGroup
+	loop.Go(func() { _ = n.registration.run(ctx) })
+	defer loop.Wait()
+	defer cancel()
+
+	kv.Restore(saved)
+	n.fleet.receive(&wire.Gossip{From: "node-2", StoreEra: uint64(kv.Era()), RevisionOnly: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := kv.Get(t.Context(), n.registration.key()); err != nil {
+			return poll.Continue("entry: %s", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second))
+}
+
+// TestRestoredStoreForgetsNoDeparture guards against a delayed announcement that brings a backend
+// server back which has left: the departure was stored after the copy from which the store came
+// back, and the node restarts.
+func TestRestoredStoreForgetsNoDeparture(t *testing.T) {
+	kv := kvs.New(clockwork.NewRealClock())
+	first := run(t, kv)
+	_, err := first.Announce(word(4, roster.Serving))
+	assert.NilError(t, err)
+	saved := kv.Snapshot()
+	_, err = first.Announce(word(5, roster.Draining))
+	assert.NilError(t, err)
+	kv.Restore(saved)
+	assert.NilError(t, first.registration.renew(t.Context(), time.Now().Add(renewInterval)))
+
+	next := run(t, kv)
+	_, err = next.Announce(word(4, roster.Serving))
+	assert.ErrorIs(t, err, roster.ErrStale)
+}
