--- a/internal/fake/kvs/contract_test.go
+++ b/internal/fake/kvs/contract_test.go
@@ -204,10 +204,10 @@
 		lease, err := f.platform.Grant(ctx, time.Minute)
 		assert.NilError(t, err)
 		f.Restore(saved)
-		other, err := f.Store.CAS(ctx, "k", []byte("other"), store.Version{}, store.Lease{})
+		other, err := f.CAS(ctx, "k", []byte("other"), store.Version{}, store.Lease{})
 		assert.NilError(t, err)
 		assert.Equal(t, other.Version.Number, mine.Version.Number)
-		again, err := f.Store.Grant(ctx, time.Minute)
+		again, err := f.Grant(ctx, time.Minute)
 		assert.NilError(t, err)
 		assert.Equal(t, again.ID, lease.ID)
 		found, err := f.platform.Watch(ctx, "k", store.WatchOptions{After: mine.Version, Timeout: 0})
@@ -220,7 +220,7 @@
 		_, err = f.platform.CAS(ctx, "n", []byte("mine"), store.Version{}, lease)
 		assert.ErrorIs(t, err, store.ErrLeaseLost)
 		assert.ErrorIs(t, f.platform.Revoke(ctx, lease), store.ErrLeaseLost)
-		assert.NilError(t, f.Store.KeepAlive(ctx, again))
+		assert.NilError(t, f.KeepAlive(ctx, again))
 	}},
 	{"a restore cuts watches that wait", func(t *testing.T, f *fixture) {
 		ctx := t.Context()
