figwick, figwickd: tests of processes do not share ports with other processes

The test had found the port free some hundred milliseconds before its process bound it; on 127.0.0.1 each connection of any process may take it meanwhile.

Each test process now has a loopback address of its own, from its process id, and counts its ports up.

--- a/cmd/figwick/process_test.go
+++ b/cmd/figwick/process_test.go
@@ -10,7 +10,9 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,8 +26,15 @@
 	"github.com/figwick/figwick/internal/fake/server"
 )
 
-// asProgram makes the test binary run as figwick itself.
-const asProgram = "FIGWICK_TEST_AS_PROGRAM"
+const (
+	// asProgram makes the test binary run as figwick itself.
+	asProgram = "FIGWICK_TEST_AS_PROGRAM"
+	// firstPort is below the port of the first address that nextAddress returns.
+	firstPort = 7000
+)
+
+// addresses counts the addresses that nextAddress has returned.
+var addresses atomic.Int32
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
@@ -42,12 +51,13 @@
 	callers, peers, backends, admin string
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+// nextAddress returns a loopback address that no other call returns. A port that was found free on
+// 127.0.0.1 may be taken by a connection of another process before it is bound; nobody connects
+// from the host of this one.
+func nextAddress() string {
+	id := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 64+id>>16&63, id>>8&255, max(1, id&255))
+	return net.JoinHostPort(host, strconv.Itoa(firstPort+int(addresses.Add(1))))
 }
 
 func figwick(t *testing.T, args ...string) *exec.Cmd {
@@ -75,7 +85,7 @@
 func newProcess(t *testing.T) *process {
 	t.Helper()
 	return &process{
-		callers: freeAddress(t), peers: freeAddress(t), backends: freeAddress(t), admin: freeAddress(t),
+		callers: nextAddress(), peers: nextAddress(), backends: nextAddress(), admin: nextAddress(),
 	}
 }
 
--- a/cmd/figwickd/main_test.go
+++ b/cmd/figwickd/main_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,8 +22,13 @@
 	// asProgram makes the test binary run as figwickd itself.
 	asProgram = "FIGWICK_TEST_AS_PROGRAM"
 	grace     = 4 * time.Second
+	// firstPort is below the first port that nextPort returns.
+	firstPort = 7000
 )
 
+// ports counts the ports that nextPort has returned.
+var ports atomic.Int32
+
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
 		main()
@@ -42,36 +49,38 @@
 // newNode returns a node that is not started, with its settings at the given path.
 func newNode(t *testing.T, path string) *node {
 	t.Helper()
-	ports := make([]string, 4)
-	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		ports[i] = l.Addr().String()
+	host := ownHost()
+	addresses := make([]string, 4)
+	for i := range addresses {
+		addresses[i] = net.JoinHostPort(host, strconv.Itoa(nextPort()))
 	}
 	text, err := json.Marshal(map[string]any{
-		"node": "node-1", "ip": "127.0.0.1", "zone": "zone-1", "service": "shop",
-		"listen":         map[string]any{"outbound": ports[0], "ready": ports[1], "control": ports[2]},
-		"internal_ports": []int{freePort(t), freePort(t)}, "heartbeat": "300ms", "limits": map[string]any{"memory_mb": 284},
+		"node": "node-1", "ip": host, "zone": "zone-1", "service": "shop",
+		"listen":         map[string]any{"outbound": addresses[0], "ready": addresses[1], "control": addresses[2]},
+		"internal_ports": []int{nextPort(), nextPort()}, "heartbeat": "300ms", "limits": map[string]any{"memory_mb": 284},
 		"bounds": map[string]any{
 			"grace": grace.String(), "retry_budget_ratio": 0.2, "retry_budget_base": 30, "budget_window": "10s",
 		},
-		"platform": map[string]any{"address": ports[3], "ttl_min": "1000ms"},
+		"platform": map[string]any{"address": addresses[3], "ttl_min": "1000ms"},
 	})
 	assert.NilError(t, err)
-	n := &node{outbound: ports[0], settings: text, ended: make(chan error, 1)}
+	n := &node{outbound: addresses[0], settings: text, ended: make(chan error, 1)}
 	n.Cmd = exec.CommandContext(t.Context(), os.Args[0], "--settings", path)
 	n.Env = append(os.Environ(), asProgram+"=1")
 	n.Stdout, n.Stderr = &n.log, &n.log
 	return n
 }
 
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+// ownHost returns a loopback address for this process. A port that was found free on 127.0.0.1 may
+// be taken by a connection of another process before it is bound; nobody connects from this one.
+func ownHost() string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+id>>16&63, id>>8&255, max(1, id&255))
+}
+
+// nextPort returns a port of ownHost that no other call returns.
+func nextPort() int {
+	return firstPort + int(ports.Add(1))
 }
 
 func (n *node) start(t *testing.T) {
