front: a response does not wait for the caller's body, nor take bytes of it

What happens: (1) A backend server that answers before it has read the whole body, and reads on, gets the body with parts missing, and with a proper end. (2) A caller that stops in the middle of its body gets no answer, neither at its deadline nor to a refusal, and holds up a stop for its whole time.

Cause, of both: before the header of a response is written, net/http reads the rest of the request's body and discards it, without a time limit. Meanwhile the ingress goes on sending the same body to the sidecar: what one reads, the other lacks. An attempt that ends while a read of the body is pending waited for its mutex as well.

Change: before a response begins, the ingress stops sending the body on, without an end, and reads the rest of it for 100 ms at most; what is incomplete then closes the connection after the response, which net/http does by itself. A read of the body ends shortly after the deadline at the latest. Nothing changes with HTTP/2, where body and response are independent.

Evidence, before and after, with -race: - TestEarlyResponseKeepsBodyWhole: the backend server got "part 0, 3, 4, 7, ..." as a whole body, three of three runs. After: passes in nine of nine. - TestStalledBody: no answer 1 s after the deadline, to an early response and to a refusal, and a stop of 20.0 s, the bound. After: passes in eight of eight. All tests of proxy/front and proxy/node pass once.

Why it works: one goroutine reads the body at a time, and after the response has begun none does.

--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -287,6 +287,7 @@
 }
 
 func (r *response) writeHead() {
+	r.x.settleBody()
 	r.x.committed = true
 	r.x.succeeded = r.head.Status < http.StatusInternalServerError
 	h := r.x.writer.Header()
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -225,6 +225,9 @@
 			_ = a.stream.Send(wire.KindEnd, &wire.End{Trailers: wire.FromHeader(a.x.request.Trailer)})
 			return
 		}
+		if errors.Is(err, errAnswering) {
+			return
+		}
 		if err != nil {
 			a.cancel(err)
 			return
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -391,6 +391,18 @@
 	return x.checkLimit()
 }
 
+// settleBody ends the reading of the caller's body before the response begins, so that the
+// response does not wait for it. With HTTP/2 both are independent.
+func (x *exchange) settleBody() {
+	switch {
+	case x.request.ProtoMajor != 1:
+	case x.body != nil:
+		x.body.settle()
+	case x.request.ContentLength != 0:
+		_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(bodyRestTime))
+	}
+}
+
 // targetPath returns the request's path in the form in which the request line has
 // it, without decoding.
 func targetPath(r *http.Request) string {
--- a/internal/proxy/front/keyed.go
+++ b/internal/proxy/front/keyed.go
@@ -60,6 +60,7 @@
 
 // replayAnswer sends the answer stored for the earlier submission.
 func (x *exchange) replayAnswer(a *keys.Answer) {
+	x.settleBody()
 	h := x.writer.Header()
 	for name, values := range a.Headers {
 		h[name] = values
--- a/internal/proxy/front/problem.go
+++ b/internal/proxy/front/problem.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		panic(err)
 	}
+	x.settleBody()
 	h := x.writer.Header()
 	clear(h)
 	h.Set("Content-Type", problemType)
--- a/internal/proxy/front/replay.go
+++ b/internal/proxy/front/replay.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,10 +16,17 @@
 	maxReplayBytes = 64 << 10
 	// bodyReadTimeout bounds one read of the caller's body.
 	bodyReadTimeout = 30 * time.Second
+	// bodyRestTime is how long the response waits for the rest of the caller's body,
+	// which must be read before the connection can be used again.
+	bodyRestTime = 100 * time.Millisecond
 )
 
-// errCallerBody marks a body that its caller did not send whole.
-var errCallerBody = errors.New("front: caller did not send its whole body")
+var (
+	// errCallerBody marks a body that its caller did not send whole.
+	errCallerBody = errors.New("front: caller did not send its whole body")
+	// errAnswering ends the reading of a body whose caller is being answered.
+	errAnswering = errors.New("front: the caller is being answered")
+)
 
 // replayableBody is a request's body. It keeps the first maxReplayBytes, so that
 // another attempt can send them again. It is safe for concurrent use.
@@ -26,15 +34,20 @@
 	mutex   sync.Mutex
 	body    io.ReadCloser
 	control *http.ResponseController
-	length  int64
-	prefix  []byte
+	// timeLeft returns the time until the request must be answered.
+	timeLeft func() time.Duration
+	length   int64
+	prefix   []byte
 	// offset is how many bytes of prefix the current attempt has read.
 	offset int
 	// overflowed reports that bytes were read beyond those kept in prefix. The
 	// body cannot be sent again.
 	overflowed bool
 	ended      bool
-	failed     error
+	// failed is the error with which the body ended early.
+	failed atomic.Pointer[error]
+	// answering is set before the response begins. The body is not read any more.
+	answering atomic.Bool
 	// epoch counts the attempts. It invalidates the reads of attempts that have
 	// ended.
 	epoch int
@@ -42,7 +55,10 @@
 
 func newReplayableBody(x *exchange) *replayableBody {
 	r := x.request
-	b := &replayableBody{length: r.ContentLength, control: http.NewResponseController(x.writer)}
+	b := &replayableBody{
+		length: r.ContentLength, control: http.NewResponseController(x.writer),
+		timeLeft: func() time.Duration { return x.answerBy().Sub(x.now()) },
+	}
 	if b.length == 0 || r.Body == nil || r.Body == http.NoBody {
 		b.length = 0
 		b.ended = true
@@ -59,7 +75,7 @@
 	defer b.mutex.Unlock()
 	b.offset = 0
 	b.epoch++
-	return !b.overflowed && b.failed == nil
+	return !b.overflowed && b.readError() == nil
 }
 
 // beginEpoch starts the epoch of a new attempt at the start of the body. Reads of
@@ -88,8 +104,8 @@
 	if b.ended {
 		return 0, io.EOF
 	}
-	if b.failed != nil {
-		return 0, b.failed
+	if err := b.readError(); err != nil {
+		return 0, err
 	}
 	return b.readCaller(p)
 }
@@ -97,7 +113,12 @@
 // readCaller reads from the caller and keeps the bytes while they fit into
 // prefix. The mutex must be held.
 func (b *replayableBody) readCaller(p []byte) (int, error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	// At the deadline the attempt ends first, for that reason.
+	_ = b.control.SetReadDeadline(time.Now().Add(min(bodyReadTimeout, b.timeLeft()+bodyRestTime)))
+	// settle sets an earlier deadline after it has set answering.
+	if b.answering.Load() {
+		return 0, errAnswering
+	}
 	n, err := b.body.Read(p)
 	_ = b.control.SetReadDeadline(time.Time{})
 	if len(b.prefix)+n <= maxReplayBytes && !b.overflowed {
@@ -113,9 +134,13 @@
 		}
 		return n, err
 	}
+	if err != nil && b.answering.Load() {
+		return n, errAnswering
+	}
 	if err != nil {
-		b.failed = errors.CombineErrors(errors.Mark(err, errCallerBody), errCallerBody)
-		return n, b.failed
+		err = errors.CombineErrors(errors.Mark(err, errCallerBody), errCallerBody)
+		b.failed.Store(&err)
+		return n, err
 	}
 	return n, nil
 }
@@ -128,11 +153,30 @@
 	return !b.overflowed && b.offset+size <= maxReplayBytes
 }
 
-// readError returns the error with which the caller's body ended early, or nil.
+// readError returns the error with which the caller's body ended early, or nil. It does
+// not wait for a read in progress.
 func (b *replayableBody) readError() error {
+	if err := b.failed.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// settle reads the rest of the body for up to bodyRestTime and discards it, before the
+// response begins. net/http would do the same without a limit, and would take bytes from
+// an attempt that still sends the body on.
+func (b *replayableBody) settle() {
+	if b.body == nil || b.answering.Swap(true) {
+		return
+	}
+	end := time.Now().Add(bodyRestTime)
+	_ = b.control.SetReadDeadline(end)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.failed
+	// The read that has just ended may have removed the deadline.
+	_ = b.control.SetReadDeadline(end)
+	_ = b.body.Close()
+	_ = b.control.SetReadDeadline(time.Time{})
 }
 
 func (b *replayableBody) close() {
