wire: header fields and targets may hold any bytes

What callers saw: a request with a byte in a header field or in its path that is not UTF-8 got 503, and each sidecar that it was sent to counted as unreachable. A response with such a byte in a field was lost after its request had run: 502, although the backend server had answered.

Cause: fields, targets and callers' request ids were protobuf strings. These must be UTF-8; encoding fails otherwise, which the ingress and the sidecar take for a failed path. HTTP allows any such byte (obs-text).

Change: these three are of type bytes. Their encoding is the same, so nodes of both kinds work together.

Why it works: no field that holds a caller's or a backend server's bytes is checked for its encoding, except error texts.

--- a/internal/peer/wire/frame_test.go
+++ b/internal/peer/wire/frame_test.go
@@ -23,8 +23,8 @@
 	conn := wire.NewConn(p)
 	defer conn.Release()
 	head := &wire.RequestHead{
-		Attempt: "a", Method: "POST", Target: "/orders", ContentLength: 5,
-		Headers: []*wire.Header{{Name: "X", Value: "1"}},
+		Attempt: "a", Method: "POST", Target: []byte("/orders"), ContentLength: 5,
+		Headers: []*wire.Header{{Name: "X", Value: []byte("1")}},
 	}
 	assert.NilError(t, conn.Send(wire.KindRequestHead, head))
 	assert.NilError(t, conn.SendBytes(bytes.Repeat([]byte("x"), wire.MaxBodyFrameBytes+1)))
--- a/internal/peer/wire/header.go
+++ b/internal/peer/wire/header.go
@@ -18,20 +18,26 @@
 func FromHeader(h http.Header) []*Header {
 	skip := connectionHeaders(h)
 	names := make([]string, 0, len(h))
-	count := 0
+	count, size := 0, 0
 	for name, values := range h {
 		if slices.Contains(hopByHop, name) || slices.Contains(skip, name) {
 			continue
 		}
 		names = append(names, name)
 		count += len(values)
+		for _, value := range values {
+			size += len(value)
+		}
 	}
 	slices.Sort(names)
 	fields := make([]Header, 0, count)
 	list := make([]*Header, 0, count)
+	text := make([]byte, 0, size)
 	for _, name := range names {
 		for _, value := range h[name] {
-			fields = append(fields, Header{Name: name, Value: value})
+			start := len(text)
+			text = append(text, value...)
+			fields = append(fields, Header{Name: name, Value: text[start:len(text):len(text)]})
 			list = append(list, &fields[len(fields)-1])
 		}
 	}
@@ -42,7 +48,7 @@
 func ToHeader(list []*Header) http.Header {
 	h := make(http.Header, len(list))
 	for _, field := range list {
-		h[field.Name] = append(h[field.Name], field.Value)
+		h[field.Name] = append(h[field.Name], string(field.Value))
 	}
 	return h
 }
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -1,8 +1,8 @@
 package front
 
 import (
+	"bytes"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +24,9 @@
 // errStream marks a stream that ended before the response did.
 var errStream = errors.New("front: stream ended before the response did")
 
+// eventStream starts the content type of an event stream.
+var eventStream = []byte("text/event-stream")
+
 // response is a backend server's response that is passed on to the caller.
 type response struct {
 	x       *exchange
@@ -265,7 +268,7 @@
 		return false
 	}
 	for _, h := range r.head.Headers {
-		if h.Name == "Content-Type" && strings.HasPrefix(h.Value, "text/event-stream") {
+		if h.Name == "Content-Type" && bytes.HasPrefix(h.Value, eventStream) {
 			return true
 		}
 	}
@@ -292,7 +295,7 @@
 	r.x.succeeded = r.head.Status < http.StatusInternalServerError
 	h := r.x.writer.Header()
 	for _, field := range r.head.Headers {
-		h[field.Name] = append(h[field.Name], field.Value)
+		h[field.Name] = append(h[field.Name], string(field.Value))
 	}
 	if _, set := h["Content-Type"]; !set {
 		h["Content-Type"] = nil
@@ -331,7 +334,7 @@
 		if !declared(r.head.TrailerNames, name) {
 			name = http.TrailerPrefix + name
 		}
-		h[name] = append(h[name], field.Value)
+		h[name] = append(h[name], string(field.Value))
 	}
 	return nil
 }
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -501,10 +501,10 @@
 		kept = append(kept, field)
 	}
 	if h.Get("Te") == "trailers" {
-		kept = append(kept, &wire.Header{Name: "Te", Value: "trailers"})
+		kept = append(kept, &wire.Header{Name: "Te", Value: []byte("trailers")})
 	}
 	forwardedFor := append(append([]string{}, h["X-Forwarded-For"]...), hostOf(x.request.RemoteAddr))
-	return append(kept, &wire.Header{Name: "X-Forwarded-For", Value: strings.Join(forwardedFor, ", ")})
+	return append(kept, &wire.Header{Name: "X-Forwarded-For", Value: []byte(strings.Join(forwardedFor, ", "))})
 }
 
 // hostOf returns the host of an address, or the whole address if it has no port.
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -281,7 +281,7 @@
 	}
 	state := ""
 	a.server.WithController(func(_ eval.Context, d *admit.Controller) { state = d.ServerGrade(a.id) })
-	events.Emit(a.server.config.Log, events.AttemptFailed, "request", a.head.Request, "attempt", string(a.id), "service", string(a.service),
+	events.Emit(a.server.config.Log, events.AttemptFailed, "request", string(a.head.Request), "attempt", string(a.id), "service", string(a.service),
 		"standing", state, "hung", o == health.TimedOut, "repeatable", a.head.Repeatable, "took", a.serviceTime.String())
 }
 
@@ -289,7 +289,7 @@
 func (a *attempt) request(ctx context.Context, slot slotResult) *http.Request {
 	r := &http.Request{
 		Method:        a.head.Method,
-		URL:           target(a.head.Target, slot.address),
+		URL:           target(string(a.head.Target), slot.address),
 		Host:          a.head.Host,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
