side: the report of a malformed response is never too large to send

What callers saw: the same 502. But for their ingress the path to the sidecar had failed: it turned away from that node, instead of retrying what may run again and counting the failure against the backend server.

Cause: net/http's error quotes the whole malformed line. From about 4 KiB on, the message with it exceeds its maximum size, is not sent, and the stream ends without a result.

Change: at most 1 KiB of an error's text is sent, as valid UTF-8.

Evidence: TestMalformedResponsesAreReported. Before: its case of a line of 9000 bytes has the step "answer" instead of "request"; the other two cases pass before as well. After: two of two runs with -race pass.

--- /dev/null
+++ b/internal/proxy/node/malformed_test.go
@@ -0,0 +1,34 @@
+package node_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/figwick/figwick/internal/fake/server"
+)
+
+// TestMalformedResponsesAreReported guards against a backend server whose malformed response
+// is taken for a failure of the path to its node.
+func TestMalformedResponsesAreReported(t *testing.T) {
+	for _, c := range []struct{ name, line string }{
+		{"short", "no field"},
+		{"long", strings.Repeat("no field ", 1000)},
+		{"not UTF-8", "no field \xff"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := start(t, 2, 1, server.Config{Handler: func(w http.ResponseWriter, _ *http.Request) {
+				raw, _, err := http.NewResponseController(w).Hijack()
+				if assert.Check(t, err) {
+					_, _ = raw.Write([]byte("HTTP/1.1 200 OK\r\n" + c.line + "\r\n\r\n"))
+					_ = raw.Close()
+				}
+			}})
+			response, text := b.do(b.request(1, http.MethodPost, "/orders", nil))
+			assert.Equal(t, response.StatusCode, http.StatusBadGateway, text)
+			assert.Equal(t, problemOf(t, response, text).Step, "request")
+		})
+	}
+}
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,9 @@
 	// gatherBytes is the largest response body that is sent in one write together
 	// with its header.
 	gatherBytes = 16 << 10
+	// maxDetailBytes is how much of an error's text is sent to the ingress. It may
+	// quote the backend server's bytes, and a Failure has a maximum size.
+	maxDetailBytes = 1 << 10
 
 	outcomeHeader = "Figwick-Outcome"
 	outcomeNotRun = "not-run"
@@ -182,7 +186,13 @@
 // sendFailure reports that the attempt was started and has no complete response.
 func (a *attempt) sendFailure(step string, err error) {
 	defer a.flush()
-	a.sendIfConnected(wire.KindFailure, &wire.Failure{Step: step, Detail: err.Error(), Load: a.load()})
+	a.sendIfConnected(wire.KindFailure, &wire.Failure{Step: step, Detail: detail(err), Load: a.load()})
+}
+
+// detail returns the beginning of an error's text, as valid UTF-8.
+func detail(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxDetailBytes)], "?")
 }
 
 // load returns the load of the service here, the clock reading and the attempt's
