link: a lack of file descriptors does not end the node

What callers saw: nothing yet; the fault was found in review. A node that has no free file descriptor at the moment when another node connects ends, and every request in flight there loses its connection.

Cause: Pool.Serve returns on each error of Accept, and a listener that has failed stops the node at once, without its grace time. net/http's servers, which the other listeners use, try again.

Change: after an error that may pass, Serve logs it and accepts again 50 ms later.

Evidence: TestServeOutlastsLackOfDescriptors, whose listener returns EMFILE three times. Before: no session is accepted.

--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,6 +78,36 @@
 	assert.Equal(t, a.Sessions(), 0)
 }
 
+// busyListener fails to accept at first, as a process without free file descriptors does.
+type busyListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *busyListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServeOutlastsLackOfDescriptors guards against a node that ends because it has no free
+// file descriptor for a moment.
+func TestServeOutlastsLackOfDescriptors(t *testing.T) {
+	a, _ := startPool(t, "secret")
+	b, _ := startPool(t, "secret")
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &busyListener{Listener: raw}
+	l.failures.Store(3)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- b.Serve(ctx, l) }()
+	assert.NilError(t, sendFence(t, a, raw.Addr().String()))
+	cancel()
+	assert.NilError(t, <-served)
+}
+
 // TestStampIsNeverLate checks that a stamp in the peer's clock is never after the
 // intended time, for any delay between a clock reading and its arrival. A late
 // stamp would let an attempt start after its deadline.
--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,9 @@
 	// idleCheckInterval is the interval at which a dropped session is checked for open
 	// streams.
 	idleCheckInterval = time.Second
+	// acceptPause is the pause after a failure to accept that may pass, such as a lack
+	// of file descriptors.
+	acceptPause = 50 * time.Millisecond
 )
 
 var (
@@ -162,7 +166,7 @@
 }
 
 // Serve accepts sessions from a listener. It returns nil after the context is
-// cancelled, and an error if accepting fails.
+// cancelled, and an error if accepting fails for good.
 func (p *Pool) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -172,6 +176,12 @@
 			if ctx.Err() != nil {
 				return nil
 			}
+			var code syscall.Errno
+			if errors.As(err, &code) && code.Temporary() {
+				p.config.Log.Warn("accepting a session failed", "listener", listener.Addr().String(), "error", err)
+				time.Sleep(acceptPause)
+				continue
+			}
 			return errors.Wrapf(err, "link: accept on %s", listener.Addr())
 		}
 		go p.acceptSession(ctx, raw)
