side: a response that nobody can receive any more is ended

What happens: a backend server sends a response without end to a request that must not repeat. After its caller has left, the sidecar reads on for ever. The slot stays taken, and each stop takes its whole time.

Cause: such an attempt goes on without its ingress, so that a fence can retrieve the response. That holds also when the response is already too large to be kept.

Change: the attempt ends when the ingress has gone and the response is not kept. It does not count against the backend server.

Evidence: TestEndlessBodyEndsWithItsCaller.

--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -78,7 +78,7 @@
 	k := &keptAnswer{head: head, discarded: a.head.Repeatable}
 	if err := a.copyBody(r, k); err != nil {
 		o := health.Failed
-		if errors.Is(context.Cause(ctx), errIngressGone) {
+		if errors.Is(err, errIngressGone) || errors.Is(context.Cause(ctx), errIngressGone) {
 			o = health.Canceled
 		}
 		a.finish(o, nil)
@@ -139,7 +139,8 @@
 		if err != nil {
 			return errors.Wrap(err, "side: read response body")
 		}
-		if a.ingressGone.Load() && a.head.Repeatable {
+		// A fence can retrieve a response only if it is kept.
+		if a.ingressGone.Load() && k.discarded {
 			return errIngressGone
 		}
 	}
