figwickd: a log whose reader has ended does not end the process

What happens: when the program that reads a node's log through a pipe ends, the node's next line ends the node too, by SIGPIPE. Every request in flight loses its connection. Found in review.

Cause: Go ends a process that writes to a broken pipe on standard output or error, unless the signal is handled or ignored.

Change: SIGPIPE is ignored. Such lines are lost; the writer of the log goes on.

Evidence: TestClosedLogKeepsServing starts a process whose log has no reader. Before: it does not serve, and has ended before SIGTERM. After: it answers, and stops gracefully; two of two runs with -race.

--- a/cmd/figwickd/main.go
+++ b/cmd/figwickd/main.go
@@ -43,6 +43,8 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	abort, end := context.WithCancel(context.Background())
 	ctx, _ := proc.StopSignals(context.Background(), end)
+	// A log whose reader has ended must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	cli.VersionPrinter = func(*cli.Command) { fmt.Println(version) }
 	var f flags
 	command := &cli.Command{
--- a/cmd/figwickd/main_test.go
+++ b/cmd/figwickd/main_test.go
@@ -151,3 +151,31 @@
 	assert.NilError(t, pipe.Close())
 	n.awaitEnd(t)
 }
+
+// TestClosedLogKeepsServing guards against a process that ends because whatever reads its
+// log has ended.
+func TestClosedLogKeepsServing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	n := newNode(t, path)
+	assert.NilError(t, os.WriteFile(path, n.settings, 0o600))
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	n.Stdout, n.Stderr = writer, writer
+	assert.NilError(t, reader.Close())
+	n.start(t)
+	assert.NilError(t, writer.Close())
+	answered := false
+	for end := time.Now().Add(2 * grace); time.Now().Before(end) && !answered; time.Sleep(20 * time.Millisecond) {
+		_, err := n.status()
+		answered = err == nil
+	}
+	assert.Check(t, answered, "the process does not serve")
+	n.signal(t, syscall.SIGTERM)
+	select {
+	case err := <-n.ended:
+		assert.NilError(t, err)
+	case <-time.After(2 * grace):
+		_ = n.Process.Kill()
+		t.Fatalf("figwickd still runs %v after SIGTERM", 2*grace)
+	}
+}
