conns: an aborted response never looks whole to an HTTP/1.0 client

What callers saw: a client of HTTP/1.0 got the beginning of a response that was cut off, and then the regular end of the connection, which is how such a response ends when it is whole.

Cause: a cut is shown by closing the connection early. HTTP/1.1 and HTTP/2 mark the end of a response in another way, HTTP/1.0 does not.

Change: if the handler of an HTTP/1.0 request has not returned in order, the connection is reset.

--- a/internal/proxy/conns/conns.go
+++ b/internal/proxy/conns/conns.go
@@ -59,6 +59,9 @@
 		closed   bool
 		// answered reports that the handler of the last request has returned.
 		answered bool
+		// untilClose reports that the end of the connection may be the end of a
+		// response to the last request, which is of HTTP/1.0.
+		untilClose bool
 		// lingering reports that only the sending side has been closed.
 		lingering bool
 	}
@@ -84,11 +87,11 @@
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
-		c.setAnswered(false)
+		c.setAnswered(false, r)
 		writer := &closingWriter{ResponseWriter: w, tracker: t}
 		handler.ServeHTTP(writer, r)
 		writer.commit()
-		c.setAnswered(true)
+		c.setAnswered(true, r)
 	})
 	s.ConnState = setState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -180,14 +183,15 @@
 	return n, err
 }
 
-// setAnswered notes whether the handler of the last request has returned.
-func (c *conn) setAnswered(answered bool) {
+// setAnswered notes the last request and whether its handler has returned.
+func (c *conn) setAnswered(answered bool, r *http.Request) {
 	if c == nil {
 		return
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.answered = answered
+	c.untilClose = !r.ProtoAtLeast(1, 1)
 }
 
 // closeIfIdle marks the connection as closed if no request is in progress on it, and
@@ -220,7 +224,8 @@
 }
 
 // Close closes the connection. After a response it first closes only the sending side,
-// and does the rest in the background.
+// and does the rest in the background. It resets the connection if the client would
+// take what it has received of a response for the whole.
 func (c *conn) Close() error {
 	c.mutex.Lock()
 	if c.lingering {
@@ -230,7 +235,11 @@
 	c.closed = true
 	c.lingering = !c.isHTTP2 && c.state == http.StateActive && c.answered
 	lingering := c.lingering
+	cut := c.untilClose && c.state == http.StateActive && !c.answered
 	c.mutex.Unlock()
+	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && cut {
+		_ = socket.SetLinger(0)
+	}
 	if lingering && c.CloseWrite() == nil {
 		go c.linger()
 		return nil
--- a/internal/proxy/conns/conns_test.go
+++ b/internal/proxy/conns/conns_test.go
@@ -67,6 +67,12 @@
 		return
 	}
 	_, _ = io.WriteString(w, "done")
+	if r.URL.Path == "/aborted" {
+		_ = http.NewResponseController(w).Flush()
+		// The client reads the header before the reset.
+		time.Sleep(50 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (b *bench) dial() (net.Conn, *bufio.Reader) {
--- a/internal/proxy/conns/linger_test.go
+++ b/internal/proxy/conns/linger_test.go
@@ -29,3 +29,22 @@
 	assert.Check(t, response.Close)
 	b.awaitRemaining(0)
 }
+
+// TestAbortedResponseLooksCut guards against clients that take a part of a response for the
+// whole, because its end is the end of the connection.
+func TestAbortedResponseLooksCut(t *testing.T) {
+	b := start(t)
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run(version, func(t *testing.T) {
+			c, reader := b.dial()
+			b.send(c, "GET /aborted HTTP/"+version+"\r\nHost: shop.test\r\n\r\n")
+			<-b.entered
+			b.leave <- struct{}{}
+			response, err := http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			n, err := io.Copy(io.Discard, response.Body)
+			assert.Check(t, err != nil, "%d bytes look like a whole response", n)
+		})
+	}
+}
