node: a failed listener stops the node gracefully

What callers saw: nothing yet; the fault was found in review. When a listener fails for good, each request in flight at its node loses its connection without an answer.

Cause: the failure canceled the context of all servers and loops, and of the stop itself. The stop had no time then, though the comment on Run promised a stop like any other.

Change: the failure of a task leaves the others running and starts a stop, within its usual bound.

Evidence: TestFailedListenerStopsGracefully. Before: the request in flight ends with EOF.

--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -28,9 +28,27 @@
 	maintenanceInterval = time.Second
 )
 
+// tasks are the servers and loops of a node. The failure of one leaves the others
+// running, so that the node can stop gracefully.
+type tasks struct {
+	errgroup.Group
+	onFailure func()
+}
+
+// Go runs a task. It calls onFailure if the task returns an error.
+func (g *tasks) Go(task func() error) {
+	g.Group.Go(func() error {
+		err := task()
+		if err != nil {
+			g.onFailure()
+		}
+		return err
+	})
+}
+
 // startLoops starts the node's periodic work and the configuration followers. They
 // end with the context.
-func (n *Node) startLoops(ctx context.Context, group *errgroup.Group) {
+func (n *Node) startLoops(ctx context.Context, group *tasks) {
 	group.Go(func() error { return n.runEvery(ctx, controllerInterval, n.tickController) })
 	group.Go(func() error { return n.runEvery(ctx, gossipInterval, n.fleet.tick) })
 	group.Go(func() error { return n.runEvery(ctx, maintenanceInterval, n.maintain) })
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -13,7 +13,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/base/events"
@@ -293,11 +292,11 @@
 }
 
 // Run serves until the context ends or Stop is called, then stops gracefully and
-// returns nil. If a listener fails it stops too and returns the error.
+// returns nil. If a listener fails it stops likewise and returns the error.
 func (n *Node) Run(ctx context.Context) error {
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	group, work := errgroup.WithContext(work)
+	group := &tasks{onFailure: n.Stop}
 	n.startServers(work, group)
 	n.startLoops(work, group)
 	events.Emit(n.log, events.NodeStarted,
@@ -308,7 +307,6 @@
 	case <-ctx.Done():
 	case <-n.stopping:
 	case <-n.aborting:
-	case <-work.Done():
 	}
 	n.stop(n.abortable(work))
 	end()
@@ -358,7 +356,7 @@
 }
 
 // startServers starts serving on all listeners.
-func (n *Node) startServers(ctx context.Context, group *errgroup.Group) {
+func (n *Node) startServers(ctx context.Context, group *tasks) {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
