--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -155,14 +155,14 @@
 		TimeoutMs:     int64((left + time.Millisecond - 1) / time.Millisecond),
 		Repeatable:    x.repeatable,
 		Method:        r.Method,
-		Target:        r.RequestURI,
+		Target:        []byte(r.RequestURI),
 		Host:          r.Host,
 		Headers:       x.headers,
 		ContentLength: x.body.length,
 		LastResort:    x.lastResort(),
 		Direct:        a.noWait,
 		Again:         a.hedge || x.plan.IsRetry(),
-		Request:       x.options.ID,
+		Request:       []byte(x.options.ID),
 		Route:         x.match.Route,
 		Revision:      uint64(x.server.Table().Revision),
 		Level:         x.baseline(a.sidecar.Address),
@@ -225,6 +225,9 @@
 			_ = a.stream.Send(wire.KindEnd, &wire.End{Trailers: wire.FromHeader(a.x.request.Trailer)})
 			return
 		}
+		if errors.Is(err, errAnswering) {
+			return
+		}
 		if err != nil {
 			a.cancel(err)
 			return
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,9 @@
 	// gatherBytes is the largest response body that is sent in one write together
 	// with its header.
 	gatherBytes = 16 << 10
+	// maxDetailBytes is how much of an error's text is sent to the ingress. It may
+	// quote the backend server's bytes, and a Failure has a maximum size.
+	maxDetailBytes = 1 << 10
 
 	outcomeHeader = "Figwick-Outcome"
 	outcomeNotRun = "not-run"
@@ -74,7 +78,7 @@
 	k := &keptAnswer{head: head, discarded: a.head.Repeatable}
 	if err := a.copyBody(r, k); err != nil {
 		o := health.Failed
-		if errors.Is(context.Cause(ctx), errIngressGone) {
+		if errors.Is(err, errIngressGone) || errors.Is(context.Cause(ctx), errIngressGone) {
 			o = health.Canceled
 		}
 		a.finish(o, nil)
@@ -135,7 +139,8 @@
 		if err != nil {
 			return errors.Wrap(err, "side: read response body")
 		}
-		if a.ingressGone.Load() && a.head.Repeatable {
+		// A fence can retrieve a response only if it is kept.
+		if a.ingressGone.Load() && k.discarded {
 			return errIngressGone
 		}
 	}
@@ -182,7 +187,13 @@
 // sendFailure reports that the attempt was started and has no complete response.
 func (a *attempt) sendFailure(step string, err error) {
 	defer a.flush()
-	a.sendIfConnected(wire.KindFailure, &wire.Failure{Step: step, Detail: err.Error(), Load: a.load()})
+	a.sendIfConnected(wire.KindFailure, &wire.Failure{Step: step, Detail: detail(err), Load: a.load()})
+}
+
+// detail returns the beginning of an error's text, as valid UTF-8.
+func detail(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxDetailBytes)], "?")
 }
 
 // load returns the load of the service here, the clock reading and the attempt's
