node: a departure that could not be stored is written later

What operators saw: nothing; a delayed announcement could bring back a backend server that had left, after a restart of the node (DRAIN), if the store was away when the departure was acknowledged.

Cause: a departure whose write failed made the node renew its lease soon, but a renewal writes nothing: only an entry whose lease was lost was written again. With the store known to be unreachable not even the renewal was due. Where only the reply was lost, the version that the node knew no longer named its entry, so every later departure ended in a conflict too. Class: a version is kept beyond the life of what it names.

Change: the node remembers that its entry lacks departures, and a renewal that succeeds writes it over whatever is stored.

Evidence: TestUnstoredDepartureIsWrittenLater fails in both cases without the change: the entry lacks the departure 4 s after the store's return. With it the test passes under the race detector.

--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -64,14 +64,16 @@
 		// entriesRead reports that the other nodes' entries have been read at least once.
 		entriesRead bool
 		renewAt     time.Time
-		// writeMutex serializes writes of the entry and guards lease, version and
-		// departures.
+		// writeMutex serializes writes of the entry and guards lease, version, departures
+		// and unsaved.
 		writeMutex sync.Mutex
 		lease      store.Lease
 		version    store.Version
 		// departures holds the departures of backend servers that this node has
 		// acknowledged, in this run or an earlier one.
 		departures []departure
+		// unsaved reports that the stored entry may lack some of the departures.
+		unsaved bool
 		// restored is closed once the departures acknowledged by earlier runs have
 		// been restored, or the wait for the store has timed out.
 		restored    chan struct{}
@@ -149,7 +151,7 @@
 }
 
 // renew renews the lease if that is due, and registers the entry again if the
-// lease was lost.
+// lease was lost. It writes departures that could not be persisted before.
 func (e *registration) renew(ctx context.Context, now time.Time) error {
 	if e.registered && now.Before(e.renewAt) {
 		return nil
@@ -157,6 +159,9 @@
 	if e.registered {
 		lease := e.currentLease()
 		err := e.store.KeepAlive(ctx, lease)
+		if err == nil {
+			err = e.saveDepartures(ctx)
+		}
 		if err == nil {
 			e.renewAt = now.Add(renewInterval)
 			return nil
@@ -249,14 +254,25 @@
 	item, err := e.store.CAS(ctx, e.key(), text, e.version, e.lease)
 	if err == nil {
 		e.version = item.Version
+		e.unsaved = false
 	}
 	return item, err
 }
 
+// saveDepartures writes the entry again if the stored one may lack departures.
+func (e *registration) saveDepartures(ctx context.Context) error {
+	e.writeMutex.Lock()
+	defer e.writeMutex.Unlock()
+	if !e.unsaved {
+		return nil
+	}
+	return e.replace(ctx)
+}
+
 // persistDeparture persists a departure in the node's entry before it is
 // acknowledged to the backend server. After a restart, the node then still rejects
 // stale announcements of that server. If the store is unreachable or the write
-// fails, the departure is only kept in memory, for the next write.
+// fails, the departure is kept in memory and written soon after.
 func (e *registration) persistDeparture(d departure) {
 	e.writeMutex.Lock()
 	defer e.writeMutex.Unlock()
@@ -265,7 +281,9 @@
 	}
 	e.departures = append(e.departures, d)
 	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
+	e.unsaved = true
 	if e.version.IsZero() || e.store.unreachable.Load() {
+		e.recheckSoon()
 		return
 	}
 	ctx, done := context.WithTimeout(context.Background(), announceTimeout)
--- a/internal/proxy/node/registration_test.go
+++ b/internal/proxy/node/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -156,3 +157,45 @@
 	_, err = next.Announce(word(4, roster.Serving))
 	assert.ErrorIs(t, err, roster.ErrStale)
 }
+
+// TestUnstoredDepartureIsWrittenLater guards against a delayed announcement that brings a backend
+// server back which has left: the store was away when the departure was acknowledged, or the reply
+// to an earlier write was lost, and the node restarts after the store's return.
+func TestUnstoredDepartureIsWrittenLater(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults kvs.Faults
+	}{
+		{"away", kvs.Faults{Down: true}},
+		{"reply lost", kvs.Faults{LoseReplies: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			kv := kvs.New(clockwork.NewRealClock())
+			first := run(t, kv)
+			ctx, cancel := context.WithCancel(t.Context())
+			var loop sync.WaitGroup
+			loop.Go(func() { _ = first.registration.run(ctx) })
+			defer loop.Wait()
+			defer cancel()
+
+			kv.Inject(c.faults)
+			first.registration.persistDeparture(departure{Server: "i-0", Incarnation: 1000})
+			_, err := first.Announce(word(5, roster.Draining))
+			assert.NilError(t, err)
+			kv.Inject(kvs.Faults{})
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				item, err := kv.Get(t.Context(), first.registration.key())
+				if err != nil || !strings.Contains(string(item.Value), "i-1") {
+					return poll.Continue("entry %s: %v", item.Value, err)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(4*time.Second))
+			cancel()
+			loop.Wait()
+
+			next := run(t, kv)
+			_, err = next.Announce(word(4, roster.Serving))
+			assert.ErrorIs(t, err, roster.ErrStale)
+		})
+	}
+}
