node: departures of the same run are not restored over a server started anew

What callers saw: nothing yet; a sound backend server would have been refused after a restore of the store.

Cause: since an entry is written again after the store has come back older, a node reads its own entry in the middle of a run and restored the departures in it, which was meant for those of an earlier run. A departure without a known incarnation is stored under the node's time, so it also covered a server that had been started anew since with a clock that is behind, and had been admitted. Class: something kept beyond the life of what it names.

Change: departures are restored only from the entry of another run.

Evidence: TestRestoredStoreRemovesNoServer fails without the change: "incarnation 2000 is older than the known".

Why it works: what this run has acknowledged is in its roster, with the incarnation to which it applied.

--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -294,8 +294,8 @@
 	}
 }
 
-// restoreFrom restores the departures from the entry of an earlier run. The writing
-// mutex is held.
+// restoreFrom restores the departures from the entry of an earlier run. Those of this run are
+// known; a server among them may have been started anew since. The writing mutex is held.
 func (e *registration) restoreFrom(present store.Item) {
 	var l entryValue
 	if err := json.Unmarshal(present.Value, &l); err != nil {
@@ -305,7 +305,9 @@
 	older := slices.DeleteFunc(slices.Clone(l.Departures), func(d departure) bool { return slices.Contains(e.departures, d) })
 	e.departures = append(older, e.departures...)
 	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
-	e.restoreDepartures(l.Departures)
+	if l.Instance != e.node.instance {
+		e.restoreDepartures(older)
+	}
 }
 
 // restoreDepartures restores departures in the sidecar's controller and admits
--- a/internal/proxy/node/registration_test.go
+++ b/internal/proxy/node/registration_test.go
@@ -199,3 +199,25 @@
 		})
 	}
 }
+
+// TestRestoredStoreRemovesNoServer guards against a backend server that is refused after the store
+// has come back from an older copy: the copy of the node's entry holds a departure of the same run,
+// under the node's time, and the server has been started anew since, with a clock that is behind.
+func TestRestoredStoreRemovesNoServer(t *testing.T) {
+	kv := kvs.New(clockwork.NewRealClock())
+	n := run(t, kv)
+	_, err := n.Announce(word(4, roster.Serving))
+	assert.NilError(t, err)
+	n.Depart("i-1")
+	saved := kv.Snapshot()
+	started := word(1, roster.Serving)
+	started.Incarnation, started.StartedUnixMilli = 2000, 2000
+	_, err = n.Announce(started)
+	assert.NilError(t, err)
+
+	kv.Restore(saved)
+	assert.NilError(t, n.registration.renew(t.Context(), time.Now().Add(renewInterval)))
+	started.Sequence = 2
+	_, err = n.Announce(started)
+	assert.NilError(t, err)
+}
