node: a watch that the store never answers ends with the store's era

What callers saw: nothing yet; a configuration acknowledged right after the return of a store that had come back older would have been in force four seconds later where the watches of the nodes that read it hung: pollWait, the client's slack of a second and watchRetryDelay.

Cause: that the store has come back was learned by other calls and by gossip at once, but the follower stayed in its watch or in its pause. Class: something kept beyond the life of what it names.

Change: when a node learns that the store has come back older, its call or pause ends and it reads the configuration.

Evidence: TestSilentWatchEndsWithTheEra fails without the change (revision 1 after a second).

Why it works: the context of the calls is cancelled for good, so a return that is noticed between two calls is not missed. A node that notices by its own read reads once more.

--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -191,6 +191,7 @@
 	}
 	if restored {
 		f.node.registration.recheckSoon()
+		f.node.sourceFollower.rereadSoon()
 		f.startExchanges(context.Background(), f.group.SpreadRevision)
 	}
 }
--- a/internal/proxy/node/follower.go
+++ b/internal/proxy/node/follower.go
@@ -56,6 +56,8 @@
 	// behindSince is when the node first knew of a newer configuration than the
 	// active one. It is zero while there is none.
 	behindSince time.Time
+	// reread ends the call or pause of watch, which then reads the configuration.
+	reread context.CancelFunc
 	// duty is used by watch only.
 	duty poll.Duty
 }
@@ -63,29 +65,52 @@
 // watch watches the store while this node is a poller, until the context ends.
 func (s *sourceFollower) watch(ctx context.Context) error {
 	var version store.Version
+	calls := s.untilRestored(ctx)
 	for ctx.Err() == nil {
+		if calls.Err() != nil {
+			calls = s.untilRestored(ctx)
+			version = store.Version{}
+		}
 		if !s.isPoller() {
-			s.pause(ctx, pollerInterval)
+			s.pause(calls, pollerInterval)
 			continue
 		}
-		item, err := s.next(ctx, version)
+		item, err := s.next(calls, version)
 		switch {
 		case err == nil:
 			version = item.Version
 			s.adoptIfNewer(item.Value, "store")
-			s.pause(ctx, watchDelay)
+			s.pause(calls, watchDelay)
 		case errors.Is(err, store.ErrUnchanged):
 			// Without a pause, next watches the key again.
 		default:
 			// The store may have dropped the watch together with its history, so the
 			// next call reads the configuration instead.
 			version = store.Version{}
-			s.pause(ctx, watchRetryDelay)
+			s.pause(calls, watchRetryDelay)
 		}
 	}
 	return ctx.Err()
 }
 
+// untilRestored returns a context that ends when the store has come back from an older copy.
+func (s *sourceFollower) untilRestored(ctx context.Context) context.Context {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	ctx, s.reread = context.WithCancel(ctx)
+	return ctx
+}
+
+// rereadSoon makes watch read the configuration, as the store has come back from an older copy:
+// it may never answer a watch that began before.
+func (s *sourceFollower) rereadSoon() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.reread != nil {
+		s.reread()
+	}
+}
+
 // next returns the current item if no version is known, otherwise it waits for a
 // newer one. If there is no item yet, a poller waits for the first.
 func (s *sourceFollower) next(ctx context.Context, version store.Version) (store.Item, error) {
