node: eras of the store are reported in order

What operators saw: store-restored twice for one return of the store, the second time with the eras exchanged, and the gauge store_era at the earlier era until the next call.

Cause: a call that ended read the store's era and recorded it in two steps. Another that recorded a later era in between was undone. Class: a number of one history is recorded over one of another.

Change: reading and recording are one step.

Evidence: TestErasAreReportedInOrder fails without the change: eras 2, 1, 2 are reported.

Why it works: the client's era only rises, so what is recorded under the mutex rises too.

--- a/internal/proxy/node/seeds.go
+++ b/internal/proxy/node/seeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,8 +71,10 @@
 	log   hclog.Logger
 	// unreachable is set while the store is unavailable.
 	unreachable atomic.Bool
+	// eraMutex makes reading the store's era and recording it one step.
+	eraMutex sync.Mutex
 	// era is the store's era at the last call.
-	era atomic.Uint64
+	era uint64
 	// changed is called when unreachable changes. It may be nil.
 	changed func(unreachable bool)
 	// onEra are called with the store's era when it becomes known, onRestore when the store
@@ -137,12 +140,8 @@
 
 // noteEra reports a new era of the store.
 func (s *countedStore) noteEra() {
-	era := uint64(s.Era())
-	if era == 0 {
-		return
-	}
-	previous := s.era.Swap(era)
-	if previous == era {
+	era, previous := s.advanceEra()
+	if era == previous {
 		return
 	}
 	s.meter.StoreEra.Update(float64(era))
@@ -157,6 +156,18 @@
 	}
 }
 
+// advanceEra records the store's era and returns it with the one recorded before. They are
+// equal if the era is not known.
+func (s *countedStore) advanceEra() (era, previous uint64) {
+	s.eraMutex.Lock()
+	defer s.eraMutex.Unlock()
+	previous = s.era
+	if era := uint64(s.Era()); era != 0 {
+		s.era = era
+	}
+	return s.era, previous
+}
+
 func (s *countedStore) notify(unreachable bool) {
 	if s.changed != nil {
 		s.changed(unreachable)
