--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -51,6 +51,8 @@
 		Watch(ctx context.Context, key string, wait store.WatchOptions) (store.Item, error)
 		Grant(ctx context.Context, ttl time.Duration) (store.Lease, error)
 		KeepAlive(ctx context.Context, lease store.Lease) error
+		// Era returns the store's era as far as its answers have told.
+		Era() store.Era
 	}
 
 	// ConfigSource decodes configurations that another system writes to the store, in
@@ -231,9 +233,10 @@
 	n.directory = &directory{node: n}
 	n.fleet = newFleet(n)
 	watched.changed = n.fleet.setStoreUnreachable
+	watched.onEra = append(watched.onEra, n.fleet.noteStoreEra)
 	n.front = n.newFront(watched)
 	n.sourceFollower = &sourceFollower{node: n, store: watched}
-	n.registration = &registration{node: n, store: watched, restored: make(chan struct{})}
+	n.registration = &registration{node: n, store: watched, restored: make(chan struct{}), recheck: make(chan struct{}, 1)}
 	n.configs = &configSync{node: n, store: watched}
 	n.ledgers = &ledgers{node: n, store: watched}
 	n.allocators = newAllocators(n)
--- a/internal/proxy/node/seeds.go
+++ b/internal/proxy/node/seeds.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return
 	}
-	_, _ = c.store.CAS(ctx, seedsKey, text, item.Version, 0)
+	_, _ = c.store.CAS(ctx, seedsKey, text, item.Version, store.Lease{})
 }
 
 // countedStore wraps the platform's store. It counts the calls and reports when the
@@ -70,8 +70,13 @@
 	log   hclog.Logger
 	// unreachable is set while the store is unavailable.
 	unreachable atomic.Bool
+	// era is the store's era at the last call.
+	era atomic.Uint64
 	// changed is called when unreachable changes. It may be nil.
 	changed func(unreachable bool)
+	// onEra are called with the store's era when it becomes known, onRestore when the store
+	// has come back from an older copy. They must not call the store.
+	onEra, onRestore []func(era store.Era)
 }
 
 func (s *countedStore) Get(ctx context.Context, key string) (store.Item, error) {
@@ -114,6 +119,7 @@
 // store.
 func (s *countedStore) record(ctx context.Context, err error) error {
 	s.meter.StoreCalls.Inc(1)
+	s.noteEra()
 	if !errors.Is(err, store.ErrUnavailable) || ctx.Err() != nil {
 		if ctx.Err() == nil && s.unreachable.CompareAndSwap(true, false) {
 			events.Emit(s.log, events.StoreBack)
@@ -129,6 +135,28 @@
 	return err
 }
 
+// noteEra reports a new era of the store.
+func (s *countedStore) noteEra() {
+	era := uint64(s.Era())
+	if era == 0 {
+		return
+	}
+	previous := s.era.Swap(era)
+	if previous == era {
+		return
+	}
+	s.meter.StoreEra.Update(float64(era))
+	for _, f := range s.onEra {
+		f(store.Era(era))
+	}
+	if previous != 0 {
+		events.Emit(s.log, events.StoreRestored, "era", era, "previous-era", previous)
+		for _, f := range s.onRestore {
+			f(store.Era(era))
+		}
+	}
+}
+
 func (s *countedStore) notify(unreachable bool) {
 	if s.changed != nil {
 		s.changed(unreachable)
