accept, node: an accepted configuration survives a store that comes back older

What operators saw: nothing yet. A configuration whose acceptance had been acknowledged stayed in force where it had been fetched, but was gone from the store: a node that started later read the earlier one, and the next apply got the same revision number, so that all nodes took it for old and ignored it.

Cause: the store's head was taken for the newest, though nodes hold newer ones.

Change: the highest revision known wins everywhere. Apply asks its node before it takes the store's head as base: for two seconds after a restore it waits for what gossip brings, then it writes the newest configuration back and continues from there. A revision that cannot be fetched still raises the next number, and Expect counts it. The node that took an apply has it in force before it answers; it read it back from the store until now. The watchers compare the store's head and chunks with theirs for a minute after a restore, or after a watch that returned an older head, and write what is missing. Unused chunks are kept during that minute, and are never deleted in another era than the apply began in. A head is created only in the era in which it was found missing, so that it does not come without its chunks: a version without a number may name its era. An apply with a write of unknown outcome before the restore is unresolved, not in conflict: a node may have read it.

Why it works: revisions only rise at each node, and whoever writes to the store does so by compare-and-swap in one era with a configuration that is complete.

--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -42,6 +42,7 @@
 	ConfigOld        = Event{204, "config-old", hclog.Warn, "A source offered a configuration revision older than the one in force; it was ignored."}
 	ConfigBroken     = Event{205, "config-broken", hclog.Error, "A configuration revision could not be fetched completely or read; the one in force stays."}
 	ConfigUnfetched  = Event{206, "config-unfetched", hclog.Info, "Fetching a newer configuration from a peer failed; another peer is asked."}
+	ConfigUnwritten  = Event{207, "config-unwritten", hclog.Warn, "The store has lost the configuration in force, and writing it back failed; the node tries again."}
 	BackendAnnounced = Event{301, "backend-announced", hclog.Info, "A backend server announced a new incarnation."}
 	BackendGone      = Event{302, "backend-gone", hclog.Info, "A backend server left or stopped sending heartbeats."}
 	BackendEjected   = Event{303, "backend-ejected", hclog.Warn, "A backend server was taken out of service."}
@@ -73,7 +74,7 @@
 func All() []Event {
 	return []Event{
 		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked, SettingsRead, SettingsBroken, LinesDropped,
-		ConfigAdopted, ConfigAccepted, ConfigRefused, ConfigOld, ConfigBroken, ConfigUnfetched,
+		ConfigAdopted, ConfigAccepted, ConfigRefused, ConfigOld, ConfigBroken, ConfigUnfetched, ConfigUnwritten,
 		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused, AttemptFailed,
 		OutcomeUnknown, AnswerRecovered, AnswerCut, RequestRefused, FailurePassed,
 		NodeJoined, NodeSuspected, NodeDead, NodeBack, PeerRefused,
--- a/internal/proxy/node/configs.go
+++ b/internal/proxy/node/configs.go
@@ -49,6 +49,7 @@
 	// adoptMutex serializes adoptIfNewer, so that one revision is fetched at a time.
 	adoptMutex sync.Mutex
 	replica    atomic.Pointer[accept.Replica]
+	restored   restoreState
 	// nextSeedUpdate is the next time to update the seed addresses. See seed.
 	nextSeedUpdate time.Time
 }
@@ -72,6 +73,9 @@
 		}
 		version = item.Version
 		c.adoptIfNewer(ctx, item.Value, "store", c.readChunks)
+		if head, err := accept.ParseHead(item.Value); err == nil && head.Revision < c.revision() {
+			c.noteRestore(version.Era)
+		}
 	}
 	return ctx.Err()
 }
@@ -151,27 +155,8 @@
 	return chunks, group.Wait()
 }
 
-// fetchApplied reads the head from the store in the background, after this node has
-// accepted an apply. It repeats failed reads until the node has the revision or
-// fetchTimeout has passed.
-func (c *configSync) fetchApplied(revision ident.Revision) {
-	go func() {
-		ctx, done := context.WithTimeout(context.Background(), fetchTimeout)
-		defer done()
-		for c.revision() < revision && ctx.Err() == nil {
-			item, err := c.store.Get(ctx, accept.HeadKey)
-			if err != nil {
-				c.pause(ctx)
-				continue
-			}
-			c.adoptIfNewer(ctx, item.Value, "store", c.readChunks)
-			return
-		}
-	}()
-}
-
 // adoptIfNewer activates the revision that a head describes if it is newer than the
-// current one. The source, a peer's address or "store", is only logged.
+// current one. The source, a peer's address, "store" or "apply", is only logged.
 func (c *configSync) adoptIfNewer(ctx context.Context, head []byte, source string, fetch accept.Fetch) {
 	c.adoptMutex.Lock()
 	defer c.adoptMutex.Unlock()
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -49,6 +49,7 @@
 	group.Go(func() error { return n.runEvery(ctx, maintenanceInterval, n.ledgers.tick) })
 	group.Go(func() error { return n.runEvery(ctx, maintenanceInterval, n.allocators.tick) })
 	group.Go(func() error { return n.runEvery(ctx, maintenanceInterval, n.configs.updateSeeds) })
+	group.Go(func() error { return n.runEvery(ctx, maintenanceInterval, n.configs.writeBack) })
 }
 
 // runEvery calls f at once and then at every interval until the context ends. The
--- a/internal/proxy/node/manage.go
+++ b/internal/proxy/node/manage.go
@@ -24,15 +24,14 @@
 }
 
 // Apply submits a configuration file to the store and returns the outcome, which is
-// also logged. If the file is accepted, this node fetches it in the background and
-// does not wait for a watcher. Apply blocks on the store until ctx ends.
+// also logged. A file that is accepted is in force at this node when Apply returns.
+// Apply blocks on the store until ctx ends.
 func (n *Node) Apply(ctx context.Context, r accept.Request) (accept.Result, error) {
-	acceptor := accept.Applier{Store: n.configs.store, Clock: n.config.Clock}
+	acceptor := accept.Applier{Store: n.configs.store, Clock: n.config.Clock, Fleet: n.configs}
 	result, err := acceptor.Apply(ctx, r)
 	fields := []any{"state", string(result.State), "revision", uint64(result.Revision), "error", err}
 	if result.State == accept.Accepted || result.State == accept.Superseded {
 		events.Emit(n.log, events.ConfigAccepted, fields...)
-		n.configs.fetchApplied(result.Revision)
 		return result, err
 	}
 	events.Emit(n.log, events.ConfigRefused, fields...)
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -237,6 +237,7 @@
 	n.sourceFollower = &sourceFollower{node: n, store: watched}
 	n.registration = &registration{node: n, store: watched, restored: make(chan struct{})}
 	n.configs = &configSync{node: n, store: watched}
+	watched.onRestore = append(watched.onRestore, n.configs.noteRestore)
 	n.ledgers = &ledgers{node: n, store: watched}
 	n.allocators = newAllocators(n)
 	return n, nil
--- a/internal/state/accept/apply.go
+++ b/internal/state/accept/apply.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -93,6 +92,29 @@
 		CAS(ctx context.Context, key string, value []byte, version store.Version, lease store.Lease) (store.Item, error)
 		Delete(ctx context.Context, key string, version store.Version) error
 		List(ctx context.Context, prefix string) ([]store.Item, error)
+		// Era returns the latest era observed.
+		Era() store.Era
+	}
+
+	// Known is what the nodes know of accepted configurations, whatever the store has.
+	Known struct {
+		// Replica is the newest configuration at hand.
+		Replica *Replica
+		// Revision is the highest revision known to be accepted, which is not below the
+		// Replica's.
+		Revision ident.Revision
+		// Restored means that the store came back from an older copy a short time ago.
+		Restored bool
+	}
+
+	// Fleet is the view of the nodes that an Applier needs because the store may lose what
+	// it has acknowledged.
+	Fleet interface {
+		// Known returns what the nodes know. After an error the call is repeated.
+		Known(ctx context.Context) (Known, error)
+		// Accepted is called before Apply reports that the Head with this text was accepted,
+		// so that a node holds it by then.
+		Accepted(ctx context.Context, head []byte, fetch Fetch)
 	}
 
 	// Sleeper provides the timer for the backoff between store calls.
@@ -104,15 +126,30 @@
 	Applier struct {
 		Store Store
 		Clock Sleeper
+		// Fleet may be nil. Apply then takes the store's Head for the newest.
+		Fleet Fleet
 	}
 
-	// storedHead is a Head as read from the store. Before the first apply it is
-	// the zero value, and version 0 makes the compare-and-swap create the key.
+	// storedHead is a Head as read from the store. Before the first apply only the era of
+	// the version is set, and the compare-and-swap creates the key.
 	storedHead struct {
 		head    Head
 		version store.Version
 		// names are the names of the Head's groups and chunks.
 		names []string
+		// known is the highest accepted revision known.
+		known ident.Revision
+		// restored is Known.Restored.
+		restored bool
+	}
+
+	// tree is a Head and the texts of its groups and chunks.
+	tree struct {
+		head  Head
+		text  []byte
+		texts map[string][]byte
+		// missing are the names of the texts that the base does not have.
+		missing []string
 	}
 )
 
@@ -129,24 +166,28 @@
 	if err != nil {
 		return Result{State: Conflicting}, errors.Wrap(err, "accept: nothing was written")
 	}
-	if r.Expect != 0 && base.head.Revision != r.Expect {
+	if r.Expect != 0 && base.known != r.Expect {
 		return Result{State: Conflicting, Current: base.head.AcceptedApply}, nil
 	}
-	next, names, missing, err := nextHead(base, r, texts)
+	next, err := nextTree(base, r, texts)
 	if err != nil {
 		return Result{State: Conflicting, Current: base.head.AcceptedApply}, err
 	}
-	if err := a.writeChunks(ctx, missing); err != nil {
+	if err := a.writeChunks(ctx, next); err != nil {
 		return Result{State: Conflicting, Current: base.head.AcceptedApply}, errors.Wrap(err, "accept: the head was not written")
 	}
 	result, err := a.swapHead(ctx, base, next)
-	if result.State == Accepted {
-		a.deleteUnused(ctx, next.Revision, names)
+	if a.Fleet != nil && (result.State == Accepted || result.State == Superseded) {
+		a.Fleet.Accepted(ctx, next.text, next.fetch)
+	}
+	if result.State == Accepted && !base.restored {
+		a.deleteUnused(ctx, base, next)
 	}
 	return result, err
 }
 
-// readBase reads the current Head and the names of its groups and chunks. It
+// readBase reads the current Head and the names of its groups and chunks. If the fleet
+// has a newer one, which the store has lost, readBase writes that one back first. It
 // retries until it succeeds or the context ends.
 func (a *Applier) readBase(ctx context.Context) (storedHead, error) {
 	var found storedHead
@@ -155,12 +196,37 @@
 		if found, err = a.readHead(ctx); err != nil {
 			return err
 		}
+		if err := a.checkKnown(ctx, &found); err != nil {
+			return err
+		}
 		found.names, err = a.readNames(ctx, found.head)
 		return err
 	})
 	return found, err
 }
 
+// checkKnown sets what the fleet knows beyond a Head that has been read from the store. It
+// returns an error if the Head has to be read again.
+func (a *Applier) checkKnown(ctx context.Context, base *storedHead) error {
+	base.known = base.head.Revision
+	if a.Fleet == nil {
+		return nil
+	}
+	known, err := a.Fleet.Known(ctx)
+	if err != nil {
+		return errors.Wrap(err, "accept: ask the fleet")
+	}
+	base.known = max(base.known, known.Revision)
+	base.restored = known.Restored
+	if base.head.Revision >= known.Replica.Revision() {
+		return nil
+	}
+	if err := a.WriteBack(ctx, known.Replica); err != nil {
+		return err
+	}
+	return errors.Newf("accept: the store had revision %d, revision %d was written back", base.head.Revision, known.Replica.Revision())
+}
+
 // readNames reads the names of a Head's groups and chunks. A missing group means
 // that the Head was a stale read.
 func (a *Applier) readNames(ctx context.Context, head Head) ([]string, error) {
@@ -180,9 +246,10 @@
 }
 
 func (a *Applier) readHead(ctx context.Context) (storedHead, error) {
+	era := a.Store.Era()
 	item, err := a.Store.Get(ctx, HeadKey)
 	if errors.Is(err, store.ErrNotFound) {
-		return storedHead{}, nil
+		return storedHead{version: store.Version{Era: era}}, nil
 	}
 	if err != nil {
 		return storedHead{}, err
@@ -198,15 +265,14 @@
 	return head, errors.Wrap(err, "accept: decode head")
 }
 
-// nextHead builds the Head that follows the base. It also returns the names of
-// all its chunks and groups, and the texts that are not yet in the store by name.
-func nextHead(base storedHead, r Request, texts [][]byte) (Head, []string, map[string][]byte, error) {
-	next := Head{AcceptedApply: AcceptedApply{Revision: base.head.Revision + 1, Apply: r.Apply, By: r.By}}
+// nextTree builds the tree of the Head that follows the base.
+func nextTree(base storedHead, r Request, texts [][]byte) (*tree, error) {
+	head := Head{AcceptedApply: AcceptedApply{Revision: base.known + 1, Apply: r.Apply, By: r.By}}
 	if base.head.Revision > 0 {
-		next.History = append([]AcceptedApply{base.head.AcceptedApply}, base.head.History...)
-		next.History = next.History[:min(len(next.History), historyLength)]
+		head.History = append([]AcceptedApply{base.head.AcceptedApply}, base.head.History...)
+		head.History = head.History[:min(len(head.History), historyLength)]
 	}
-	namer := newChunkNamer(base.names, next.Revision, r.Apply)
+	namer := newChunkNamer(base.names, head.Revision, r.Apply)
 	chunks := make([]string, len(texts))
 	for i, text := range texts {
 		chunks[i] = namer.name(text)
@@ -214,11 +280,27 @@
 	for _, group := range groupNames(chunks) {
 		text, err := json.Marshal(group)
 		if err != nil {
-			return Head{}, nil, nil, errors.Wrap(err, "accept: encode group")
+			return nil, errors.Wrap(err, "accept: encode group")
 		}
-		next.Groups = append(next.Groups, namer.name(text))
+		head.Groups = append(head.Groups, namer.name(text))
 	}
-	return next, append(chunks, next.Groups...), namer.missing, nil
+	text, err := json.Marshal(head)
+	if err != nil {
+		return nil, errors.Wrap(err, "accept: encode head")
+	}
+	slices.Sort(namer.missing)
+	return &tree{head: head, text: text, texts: namer.texts, missing: namer.missing}, nil
+}
+
+// fetch is a Fetch.
+func (t *tree) fetch(_ context.Context, names []string) (map[string][]byte, error) {
+	found := make(map[string][]byte, len(names))
+	for _, name := range names {
+		if text, ok := t.texts[name]; ok {
+			found[name] = text
+		}
+	}
+	return found, nil
 }
 
 // chunkNamer assigns names to the texts of chunks and groups. A text that the
@@ -226,14 +308,16 @@
 type chunkNamer struct {
 	// present maps a content hash to the name of the text.
 	present map[string]string
-	// missing maps a new name to its text, which has to be written.
-	missing  map[string][]byte
+	// texts maps each name given to its text.
+	texts map[string][]byte
+	// missing are the new names, whose texts have to be written.
+	missing  []string
 	revision ident.Revision
 	apply    ident.Apply
 }
 
 func newChunkNamer(names []string, revision ident.Revision, apply ident.Apply) *chunkNamer {
-	n := &chunkNamer{present: map[string]string{}, missing: map[string][]byte{}, revision: revision, apply: apply}
+	n := &chunkNamer{present: map[string]string{}, texts: map[string][]byte{}, revision: revision, apply: apply}
 	for _, name := range names {
 		n.present[hashFromName(name)] = name
 	}
@@ -246,51 +330,51 @@
 	if !found {
 		name = chunkName(hash, n.revision, n.apply)
 		n.present[hash] = name
-		n.missing[name] = text
+		n.missing = append(n.missing, name)
 	}
+	n.texts[name] = text
 	return name
 }
 
-func (a *Applier) writeChunks(ctx context.Context, missing map[string][]byte) error {
-	for _, name := range slices.Sorted(maps.Keys(missing)) {
-		err := a.retry(ctx, func() error {
-			_, err := a.Store.CAS(ctx, chunkPrefix+name, missing[name], store.Version{}, store.Lease{})
-			if errors.Is(err, store.ErrConflict) {
-				return nil
-			}
+func (a *Applier) writeChunks(ctx context.Context, t *tree) error {
+	for _, name := range t.missing {
+		if err := a.retry(ctx, func() error { return a.createChunk(ctx, name, t.texts[name]) }); err != nil {
 			return err
-		})
-		if err != nil {
-			return errors.Wrapf(err, "chunk %s", name)
 		}
 	}
 	return nil
 }
 
+// createChunk writes a chunk or group unless the store has it.
+func (a *Applier) createChunk(ctx context.Context, name string, text []byte) error {
+	_, err := a.Store.CAS(ctx, chunkPrefix+name, text, store.Version{}, store.Lease{})
+	if errors.Is(err, store.ErrConflict) {
+		return nil
+	}
+	return errors.Wrapf(err, "chunk %s", name)
+}
+
 // swapHead replaces the Head by compare-and-swap. It repeats the same write until
 // the store gives a definite answer. The write can succeed only once because it
 // names the version that it replaces.
-func (a *Applier) swapHead(ctx context.Context, base storedHead, next Head) (Result, error) {
-	text, err := json.Marshal(next)
-	if err != nil {
-		return Result{State: Conflicting}, errors.Wrap(err, "accept: encode head")
-	}
-	attempted := false
+func (a *Applier) swapHead(ctx context.Context, base storedHead, next *tree) (Result, error) {
+	attempted, unknown := false, false
 	result := Result{State: Unresolved}
-	err = a.retry(ctx, func() error {
-		_, err := a.Store.CAS(ctx, HeadKey, text, base.version, store.Lease{})
+	err := a.retry(ctx, func() error {
+		_, err := a.Store.CAS(ctx, HeadKey, next.text, base.version, store.Lease{})
 		attempted = true
 		switch {
 		case err == nil:
-			result = Result{State: Accepted, Revision: next.Revision, Current: next.AcceptedApply}
+			result = Result{State: Accepted, Revision: next.head.Revision, Current: next.head.AcceptedApply}
 			return nil
 		case errors.Is(err, store.ErrTooLarge):
 			result = Result{State: Conflicting, Current: base.head.AcceptedApply}
 			return nil
 		case !errors.Is(err, store.ErrConflict):
+			unknown = true
 			return err
 		}
-		result, err = a.resolveConflict(ctx, base, next)
+		result, err = a.resolveConflict(ctx, base, next.head, unknown)
 		return err
 	})
 	if err != nil && !attempted {
@@ -301,13 +385,16 @@
 
 // resolveConflict finds the outcome of a Head write that failed with a version
 // conflict. Either another apply won, or an earlier try of this write succeeded
-// and its reply was lost. The current Head and its History show which.
-func (a *Applier) resolveConflict(ctx context.Context, base storedHead, next Head) (Result, error) {
+// and its reply was lost. The current Head and its History show which, unless an earlier
+// try had an unknown outcome and the store has come back from an older copy since: what
+// it has lost may have been read by a node.
+func (a *Applier) resolveConflict(ctx context.Context, base storedHead, next Head, unknown bool) (Result, error) {
 	current, err := a.readHead(ctx)
 	if err != nil {
 		return Result{State: Unresolved}, err
 	}
-	if !current.version.Later(base.version) {
+	restored := current.version.Era != base.version.Era
+	if !restored && !current.version.Later(base.version) {
 		return Result{State: Unresolved}, errors.Newf("accept: stale read of the head: version %d, expected above %d", current.version.Number, base.version.Number)
 	}
 	if current.head.Apply == next.Apply {
@@ -316,7 +403,7 @@
 	if slices.Contains(current.head.History, next.AcceptedApply) {
 		return Result{State: Superseded, Revision: next.Revision, Current: current.head.AcceptedApply}, nil
 	}
-	if current.head.Revision > next.Revision+historyLength {
+	if current.head.Revision > next.Revision+historyLength || restored && unknown {
 		return Result{State: Unresolved, Current: current.head.AcceptedApply}, nil
 	}
 	return Result{State: Conflicting, Current: current.head.AcceptedApply}, nil
@@ -324,20 +411,17 @@
 
 // deleteUnused deletes the chunks and groups that no Head can need any more: those
 // of the newest revision or an earlier one that are not among its names. Errors
-// are ignored; the next apply deletes what is left over.
-func (a *Applier) deleteUnused(ctx context.Context, newest ident.Revision, names []string) {
+// are ignored; the next apply deletes what is left over. In another era of the store than
+// the base's, the newest Head may be lost and an earlier one need its chunks.
+func (a *Applier) deleteUnused(ctx context.Context, base storedHead, newest *tree) {
 	items, err := a.Store.List(ctx, chunkPrefix)
 	if err != nil {
 		return
 	}
-	needed := make(map[string]bool, len(names))
-	for _, name := range names {
-		needed[name] = true
-	}
 	for _, item := range items {
 		name := strings.TrimPrefix(item.Key, chunkPrefix)
 		revision, ok := revisionFromName(name)
-		if !ok || revision > newest || needed[name] {
+		if _, needed := newest.texts[name]; !ok || needed || revision > newest.head.Revision || item.Version.Era != base.version.Era {
 			continue
 		}
 		_ = a.Store.Delete(ctx, item.Key, item.Version)
--- a/internal/state/store/era.go
+++ b/internal/state/store/era.go
@@ -42,7 +42,7 @@
 	switch {
 	case !lease.IsZero() && lease.Era != era:
 		return ErrLeaseLost
-	case !version.IsZero() && version.Era != era:
+	case version.Era != 0 && version.Era != era:
 		return ErrConflict
 	default:
 		return nil
@@ -53,7 +53,7 @@
 // than the one that answered: the store was restored in between, and what it compared was
 // not what the caller knew.
 func CheckWritten(version Version, lease Lease, answered Era) error {
-	if !version.IsZero() && version.Era != answered || !lease.IsZero() && lease.Era != answered {
+	if version.Era != 0 && version.Era != answered || !lease.IsZero() && lease.Era != answered {
 		return ErrUnavailable
 	}
 	return nil
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -35,8 +35,8 @@
 	Era uint64
 
 	// Version identifies one write of one key. The zero value is a key that does not
-	// exist. A version of an earlier era no longer identifies any write, whatever its
-	// number.
+	// exist; with an Era and no Number, one that did not exist in that era. A version of an
+	// earlier era no longer identifies any write, whatever its number.
 	Version struct {
 		Era Era
 		// Number grows with each write of the key within an era, across deletions
