node: a departure is stored before its acknowledgement where the entry must be written anew

Cause: a departure is stored before its acknowledgement only if the node's entry is there. Where it is not, since the store was away when the node started or has come back older, the node acknowledged at once and wrote the entry after the time over which all nodes spread their writes, up to half a second later. If the node ended or the store went away again in that time, the next run knew nothing of the departure, and a heartbeat from before brought the server back. Class: an acknowledgement is given before what it promises is kept.

Change: departures do not wait for that spread, and the acknowledgement waits for the write, up to announceTimeout as before, if the store is reachable.

What remains: while the store is away a departure is acknowledged and kept by the process alone, and a copy from before the departure lacks it until the node writes its entry again. A restart in between forgets it.

--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -59,21 +60,25 @@
 		// recheck receives a value when the entry may have been lost with the store's
 		// latest data. It holds at most one.
 		recheck chan struct{}
+		// save receives a value when departures are to be stored at once. It holds at most
+		// one.
+		save chan struct{}
 		// registered reports that the entry is in the store under the lease.
 		registered bool
 		// entriesRead reports that the other nodes' entries have been read at least once.
 		entriesRead bool
 		renewAt     time.Time
 		// writeMutex serializes writes of the entry and guards lease, version, departures
-		// and unsaved.
+		// and saved.
 		writeMutex sync.Mutex
 		lease      store.Lease
 		version    store.Version
 		// departures holds the departures of backend servers that this node has
 		// acknowledged, in this run or an earlier one.
 		departures []departure
-		// unsaved reports that the stored entry may lack some of the departures.
-		unsaved bool
+		// saved is closed once the stored entry has all departures. It is nil unless the
+		// entry may lack some of them.
+		saved chan struct{}
 		// restored is closed once the departures acknowledged by earlier runs have
 		// been restored, or the wait for the store has timed out.
 		restored    chan struct{}
@@ -106,6 +111,8 @@
 		case <-e.node.config.Clock.After(wait):
 		case <-e.recheck:
 			e.spreadRecheck(ctx)
+		case <-e.save:
+			e.renewAt = time.Time{}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -121,12 +128,21 @@
 	}
 }
 
+// saveSoon makes run store the departures at once. It doesn't block.
+func (e *registration) saveSoon() {
+	select {
+	case e.save <- struct{}{}:
+	default:
+	}
+}
+
 // spreadRecheck waits for a random part of the time over which the nodes check their entries,
-// and makes the renewal due.
+// unless departures are to be stored, and makes the renewal due.
 func (e *registration) spreadRecheck(ctx context.Context) {
 	spread := max(minRecheckSpread, time.Duration(len(e.node.fleet.live()))*recheckSpread)
 	select {
 	case <-e.node.config.Clock.After(time.Duration(e.node.config.Random.Float64() * float64(spread))):
+	case <-e.save:
 	case <-ctx.Done():
 	}
 	e.renewAt = time.Time{}
@@ -254,7 +270,10 @@
 	item, err := e.store.CAS(ctx, e.key(), text, e.version, e.lease)
 	if err == nil {
 		e.version = item.Version
-		e.unsaved = false
+		if e.saved != nil {
+			close(e.saved)
+			e.saved = nil
+		}
 	}
 	return item, err
 }
@@ -263,7 +282,7 @@
 func (e *registration) saveDepartures(ctx context.Context) error {
 	e.writeMutex.Lock()
 	defer e.writeMutex.Unlock()
-	if !e.unsaved {
+	if e.saved == nil {
 		return nil
 	}
 	return e.replace(ctx)
@@ -271,27 +290,50 @@
 
 // persistDeparture persists a departure in the node's entry before it is
 // acknowledged to the backend server. After a restart, the node then still rejects
-// stale announcements of that server. If the store is unreachable or the write
-// fails, the departure is kept in memory and written soon after.
+// stale announcements of that server. If the entry must be written anew first, it waits
+// for that. If the store is unreachable or the write fails, the departure is kept in
+// memory and written soon after.
 func (e *registration) persistDeparture(d departure) {
+	ctx, done := context.WithTimeout(context.Background(), announceTimeout)
+	defer done()
+	saved, err := e.writeDeparture(ctx, d)
+	if saved == nil {
+		return
+	}
+	e.saveSoon()
+	if e.store.unreachable.Load() {
+		return
+	}
+	select {
+	case <-saved:
+	case <-ctx.Done():
+		events.Emit(e.node.log, events.DepartureUnkept, "backend-server", string(d.Server),
+			"error", cmp.Or(err, ctx.Err()))
+	}
+}
+
+// writeDeparture adds a departure to the entry and stores it, if the entry is there and the
+// store is reachable. Unless the departure is known or has been stored, it returns a
+// channel that is closed once it is.
+func (e *registration) writeDeparture(ctx context.Context, d departure) (<-chan struct{}, error) {
 	e.writeMutex.Lock()
 	defer e.writeMutex.Unlock()
 	if slices.Contains(e.departures, d) {
-		return
+		return nil, nil
 	}
 	e.departures = append(e.departures, d)
 	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
-	e.unsaved = true
+	if e.saved == nil {
+		e.saved = make(chan struct{})
+	}
+	saved := e.saved
 	if e.version.IsZero() || e.store.unreachable.Load() {
-		e.recheckSoon()
-		return
+		return saved, nil
 	}
-	ctx, done := context.WithTimeout(context.Background(), announceTimeout)
-	defer done()
 	if _, err := e.write(ctx); err != nil {
-		events.Emit(e.node.log, events.DepartureUnkept, "backend-server", string(d.Server), "error", err)
-		e.recheckSoon()
+		return saved, err
 	}
+	return nil, nil
 }
 
 // restoreFrom restores the departures from the entry of an earlier run. Those of this run are
--- a/internal/proxy/node/registration_test.go
+++ b/internal/proxy/node/registration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -221,3 +222,48 @@
 	_, err = n.Announce(started)
 	assert.NilError(t, err)
 }
+
+// latest is a source of random numbers that makes a node take all the time it may.
+type latest struct {
+	eval.Random
+}
+
+func (latest) Float64() float64 { return 1 }
+
+// TestDepartureIsStoredBeforeItsAcknowledgement guards against a delayed announcement that brings
+// a backend server back which has left: the store is there, but the node's entry is not, since the
+// store was away when the node started or has come back from an older copy. The node ends right
+// after the acknowledgement.
+func TestDepartureIsStoredBeforeItsAcknowledgement(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restored=%t", restored), func(t *testing.T) {
+			kv := kvs.New(clockwork.NewRealClock())
+			saved := kv.Snapshot()
+			kv.Inject(kvs.Faults{Down: !restored})
+			first := run(t, kv)
+			first.config.Random = latest{first.config.Random}
+			ctx, cancel := context.WithCancel(t.Context())
+			var loop sync.WaitGroup
+			loop.Go(func() { _ = first.registration.run(ctx) })
+			defer loop.Wait()
+			defer cancel()
+			first.registration.restoreDepartures(nil)
+			_, err := first.Announce(word(4, roster.Serving))
+			assert.NilError(t, err)
+
+			kv.Inject(kvs.Faults{})
+			if restored {
+				kv.Restore(saved)
+			}
+			_, err = first.registration.store.List(t.Context(), entryPrefix) // notices the store's return
+			assert.NilError(t, err)
+			_, err = first.Announce(word(5, roster.Draining))
+			assert.NilError(t, err)
+			cancel()
+
+			next := run(t, kv)
+			_, err = next.Announce(word(4, roster.Serving))
+			assert.ErrorIs(t, err, roster.ErrStale)
+		})
+	}
+}
