roster: remove a server whose departure is restored late

What callers see: requests reach a backend server more than the drain time after its departure was acknowledged. The node that acknowledged it restarts while the store is away, waits a second for the departures of its earlier run and then admits announcements; a delayed one from before the departure is accepted. When the store is back, the departure is read from the entry, but the server stays in use.

Cause: Roster.RestoreDeparture ignored a departure of the incarnation that is known, although the announcement that made it known was a delayed one, and replaced an entry with a lower incarnation without telling the controller, which went on using the server.

Now the departure marks the server as gone, unless a higher incarnation is known or it is draining, and the controller removes it. Within one incarnation a server does not return, so a server that has been started anew is not concerned.

TestRestoredDepartureRemovesServer and TestDepartureReadLateRemovesServer fail on the code before (the server is still among those in use).

--- a/internal/policy/admit/servers.go
+++ b/internal/policy/admit/servers.go
@@ -63,9 +63,14 @@
 }
 
 // RestoreDeparture restores a departure that an earlier run of this node has
-// acknowledged, so that late announcements of that incarnation are refused.
-func (c *Controller) RestoreDeparture(t eval.Context, id ident.Backend, incarnation ident.Incarnation) {
-	c.roster.RestoreDeparture(t.Now, id, incarnation)
+// acknowledged, so that late announcements of that incarnation are refused. It removes
+// the server if it is present.
+func (c *Controller) RestoreDeparture(t eval.Context, id ident.Backend, incarnation ident.Incarnation) Ops {
+	var ops Ops
+	if change, known := c.roster.RestoreDeparture(t.Now, id, incarnation); known {
+		c.applyChange(t, change, &ops)
+	}
+	return ops
 }
 
 // Serving returns the first service by name that has serving servers here, and the
--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -313,11 +313,11 @@
 // restoreDepartures restores departures in the sidecar's controller and admits
 // announcements from now on.
 func (e *registration) restoreDepartures(left []departure) {
-	e.node.side.WithController(func(t eval.Context, d *admit.Controller) {
-		for _, l := range left {
-			d.RestoreDeparture(t, l.Server, l.Incarnation)
-		}
-	})
+	for _, l := range left {
+		e.node.side.Do(func(t eval.Context, d *admit.Controller) admit.Ops {
+			return d.RestoreDeparture(t, l.Server, l.Incarnation)
+		})
+	}
 	e.restoreOnce.Do(func() { close(e.restored) })
 }
 
--- a/internal/proxy/node/registration_test.go
+++ b/internal/proxy/node/registration_test.go
@@ -15,8 +15,10 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/figwick/figwick/internal/base/eval"
+	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/fake/kvs"
 	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/policy/admit"
 	"github.com/figwick/figwick/internal/state/roster"
 	"github.com/figwick/figwick/internal/state/store"
 )
@@ -221,3 +223,29 @@
 	_, err = n.Announce(started)
 	assert.NilError(t, err)
 }
+
+// TestDepartureReadLateRemovesServer guards against a backend server that has left and stays in use:
+// the store was away when its node restarted, a delayed announcement was accepted, and the departure
+// was read when the store was back.
+func TestDepartureReadLateRemovesServer(t *testing.T) {
+	kv := kvs.New(clockwork.NewRealClock())
+	first := run(t, kv)
+	_, err := first.Announce(word(5, roster.Draining))
+	assert.NilError(t, err)
+
+	kv.Inject(kvs.Faults{Down: true})
+	next := run(t, kv)
+	next.started = next.started.Add(-restoreTimeout)
+	_, err = next.Announce(word(4, roster.Serving))
+	assert.NilError(t, err)
+	kv.Inject(kvs.Faults{})
+	assert.NilError(t, next.registration.renew(t.Context(), time.Now()))
+	var servers []roster.Announcement
+	service := ident.Service("")
+	next.side.WithController(func(_ eval.Context, d *admit.Controller) {
+		servers = d.Servers()
+		service, _ = d.Serving()
+	})
+	assert.Equal(t, len(servers), 0)
+	assert.Equal(t, service, ident.Service(""))
+}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -232,13 +232,15 @@
 	return Change{Server: e.Announcement, Gone: true}, !wasGone
 }
 
-// RestoreDeparture marks a server of an incarnation as gone for good, unless that
-// incarnation or a higher one is known. It restores the departures that an
-// earlier run of this node acknowledged, so that delayed announcements of that
-// server are still refused.
-func (r *Roster) RestoreDeparture(now time.Time, id ident.Backend, incarnation ident.Incarnation) {
-	if e, known := r.servers[id]; known && e.Incarnation >= incarnation {
-		return
+// RestoreDeparture marks a server of an incarnation as gone for good, unless a higher
+// incarnation is known. It restores the departures that an earlier run of this node
+// acknowledged, so that delayed announcements of that server are still refused. It
+// reports whether the server was present: an announcement that was accepted before the
+// departure was known was a delayed one.
+func (r *Roster) RestoreDeparture(now time.Time, id ident.Backend, incarnation ident.Incarnation) (Change, bool) {
+	e, known := r.servers[id]
+	if known && (e.Incarnation > incarnation || e.State == Draining && !e.gone) {
+		return Change{}, false
 	}
 	if r.servers == nil {
 		r.servers = map[ident.Backend]*entry{}
@@ -248,6 +250,10 @@
 		expires:      now.Add(Lease),
 		gone:         true,
 	}
+	if !known || e.gone {
+		return Change{}, false
+	}
+	return Change{Server: e.Announcement, Gone: true}, true
 }
 
 // Leave marks a server as gone for good and reports whether it was present. It
--- a/internal/state/roster/stale_test.go
+++ b/internal/state/roster/stale_test.go
@@ -116,3 +116,28 @@
 	assert.Check(t, changes[0].Gone)
 	assert.Equal(t, changes[0].Server.ID, ident.Backend("a"))
 }
+
+// TestRestoredDepartureRemovesServer guards against a backend server that stays in use although its
+// departure has been restored: a delayed announcement of it was accepted before.
+func TestRestoredDepartureRemovesServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, incarnation := range []ident.Incarnation{5, 6} {
+		var r roster.Roster
+		a := roster.Announcement{ID: "i-1", Incarnation: 5, Sequence: 4, State: roster.Serving}
+		_, err := r.Announce(now, a)
+		assert.NilError(t, err)
+		change, removed := r.RestoreDeparture(now, "i-1", incarnation)
+		assert.Check(t, removed && change.Gone && change.Server.ID == "i-1", "%+v", change)
+		assert.Equal(t, len(r.Servers()), 0)
+		a.Sequence++
+		_, err = r.Announce(now, a)
+		assert.ErrorIs(t, err, roster.ErrStale)
+		_, removed = r.RestoreDeparture(now, "i-1", incarnation)
+		assert.Check(t, !removed)
+		a.Incarnation = 7
+		_, err = r.Announce(now, a)
+		assert.NilError(t, err)
+		_, removed = r.RestoreDeparture(now, "i-1", incarnation)
+		assert.Check(t, !removed, "it has been started anew since")
+	}
+}
