floor: no token is granted twice after the store has come back from an older copy

What operators see: more backend servers of a service are ejected at a time than its floor allows, for up to two hours. The ledger of the floor tokens comes back from a copy from before a token was granted, and grants it to another node, while the first node counts on its tokens until its next renewal.

Now a node that learns of the restore, by its own calls or by gossip, gives up the tokens that it has not spent, writes its entry with the spent ones at once, and asks for no others for 30 seconds, by which time the other nodes have done the same. A write that is in flight then counts as one whose reply was lost.

A node that hears neither from the store nor from any other node keeps its unspent tokens until their lease ends; that is as before. Found by reading.

--- a/internal/policy/admit/ledger.go
+++ b/internal/policy/admit/ledger.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// StoreRestored records that the store has come back from an older copy, so that the
+// ledgers may lack this node's latest tokens.
+func (c *Controller) StoreRestored(now time.Time) {
+	for _, name := range c.serviceNames() {
+		c.services[name].tokens.StoreRestored(now)
+	}
+}
+
 // LedgerReplyLost records that the reply to the write was lost, so that the store
 // may or may not have accepted it.
 func (c *Controller) LedgerReplyLost(name ident.Service) {
--- a/internal/policy/floor/floor_test.go
+++ b/internal/policy/floor/floor_test.go
@@ -34,6 +34,9 @@
 	// ejections counts ejections, so that the test can check that there were enough.
 	ejections int
 	trace     []string
+	// saved is a copy of the Ledger from which the store may come back. It is nil in tests
+	// without restores.
+	saved *floor.Ledger
 }
 
 // logf adds to the trace that is printed if the floor is violated.
@@ -268,6 +271,41 @@
 	}
 }
 
+// restoreStore copies the Ledger, or lets the store come back from the copy. All nodes learn of that
+// at once, and those that have spent tokens write their entries again, while others try to eject
+// servers. It does nothing while the store is away.
+func (w *simulation) restoreStore() {
+	if w.storeDown {
+		return
+	}
+	if w.choices.IntN(8) > 0 {
+		copied := w.ledger.Clone()
+		w.saved = &copied
+		return
+	}
+	w.ledger = w.saved.Clone()
+	w.version++
+	w.logf("the store comes back with %+v", w.ledger)
+	for _, n := range w.nodes {
+		n.write = nil
+		n.holder.StoreRestored(w.now)
+	}
+	w.now = w.now.Add(3 * time.Second)
+	for _, n := range w.nodes {
+		w.eject(w.randomNode())
+		if len(n.holder.Spent()) == 0 {
+			continue
+		}
+		w.read(n)
+		if n.write != nil {
+			w.ledger = n.write.ledger
+			w.version++
+			n.write = nil
+			n.holder.WriteDone(true)
+		}
+	}
+}
+
 // crash ends a node. Its servers move to another node and are in service again.
 func (w *simulation) crash(n *simNode) {
 	to := w.randomNode()
@@ -333,6 +371,67 @@
 	assert.Check(t, ejections > 100, "only %d ejections", ejections)
 }
 
+// TestFloorHoldsAfterRestore guards against two nodes that eject servers with the same tokens: the
+// store came back from a copy from before it granted them to the first, and granted them again.
+func TestFloorHoldsAfterRestore(t *testing.T) {
+	ejections := 0
+	check.Run(t, func(t *rapid.T) {
+		w := newSimulation(t)
+		w.saved = &floor.Ledger{}
+		for range w.choices.Between(200, 1000) {
+			w.step()
+			if w.choices.IntN(10) == 0 {
+				w.restoreStore()
+			}
+		}
+		ejections += w.ejections
+	})
+	assert.Check(t, ejections > 100, "only %d ejections", ejections)
+}
+
+// TestLostTokensAreNotGrantedTwice guards against two nodes that eject servers with the same token: the
+// store came back from a copy from before it granted the token to the first, and grants it again. The
+// first may have spent it or not.
+func TestLostTokensAreNotGrantedTwice(t *testing.T) {
+	for _, spent := range []bool{false, true} {
+		now := epoch
+		var ledger floor.Ledger
+		a := &floor.Holder{Node: "a", Instance: 1}
+		b := &floor.Holder{Node: "b", Instance: 1}
+		a.SetBackends([]ident.Backend{"a-1", "a-2"})
+		b.SetBackends([]ident.Backend{"b-1", "b-2"})
+		write := func(h *floor.Holder, floor int) {
+			now = now.Add(5 * time.Second)
+			if h.WriteDue(now) {
+				h.PrepareWrite(now, floor, nil, &ledger)
+				h.WriteDone(true)
+			}
+		}
+		view := func(other ident.Node) floor.View {
+			return floor.View{Floor: 3, InService: 2, Others: []floor.NodeCounts{{Node: other, Alive: 2, InService: 2}}}
+		}
+		write(a, 4)
+		write(b, 4)
+		saved := ledger.Clone()
+		write(a, 3)
+		assert.Equal(t, a.Tokens(now), 1)
+		if spent {
+			assert.Assert(t, a.Spend(now, "a-1", view("b")))
+		}
+
+		ledger = saved
+		a.StoreRestored(now)
+		b.StoreRestored(now)
+		for range 20 {
+			write(b, 3)
+			write(a, 3)
+			b.Spend(now, "b-1", view("a"))
+			a.Spend(now, "a-1", view("b"))
+		}
+		assert.Equal(t, len(a.Spent())+len(b.Spent()), 1)
+	}
+}
+
 // TestTokensComeBack removes the node that holds all tokens. Another node gets them once the
 // dead node's entry has been unchanged for its lease.
 func TestTokensComeBack(t *testing.T) {
--- a/internal/policy/floor/holder.go
+++ b/internal/policy/floor/holder.go
@@ -15,6 +15,10 @@
 	minWriteInterval = 2 * time.Second
 	// maxWriteInterval limits the doubling of that time while the Ledger has no free token.
 	maxWriteInterval = 5 * time.Minute
+	// restoreSettleTime is how long after the store has come back from an older copy a node
+	// takes no further tokens. Until then the nodes that have spent some write their entries
+	// again.
+	restoreSettleTime = 30 * time.Second
 	// spareTokens is how many tokens a node holds beyond those it has spent.
 	spareTokens = 1
 )
@@ -39,6 +43,8 @@
 		synced          bool
 		staleDetector   StaleDetector
 		pending         *pending
+		// settledAt is the end of restoreSettleTime after the last restore of the store.
+		settledAt time.Time
 		// grantLedgers are the Ledgers that the tokens may have been granted from: the one of
 		// the last accepted write, and those of later writes whose reply was lost.
 		grantLedgers []Ledger
@@ -104,7 +110,7 @@
 	if h.renewDue(now) {
 		return true
 	}
-	return h.tokenGoal() != h.validTokens(now) && len(h.backends) > 0
+	return h.tokenGoal(now) != h.validTokens(now) && len(h.backends) > 0
 }
 
 // PrepareWrite edits a Ledger that has just been read and returns this node's entry. The
@@ -121,7 +127,7 @@
 		ledger.ClearBackends(node)
 	}
 	h.round++
-	e := Entry{Node: h.Node, Instance: h.Instance, Backends: h.backends, Tokens: h.tokenGoal(), Renewals: h.round}
+	e := Entry{Node: h.Node, Instance: h.Instance, Backends: h.backends, Tokens: h.tokenGoal(now), Renewals: h.round}
 	keep := min(len(h.spent), h.validTokens(now))
 	e = ledger.Set(e, keep)
 	h.pending = &pending{entry: e, sentAt: now, ledger: ledger.Clone()}
@@ -144,7 +150,7 @@
 	h.expiresAt = p.sentAt.Add(Lease)
 	h.renewAt = p.sentAt.Add(renewInterval)
 	h.deniedWrites++
-	if h.tokens >= h.tokenGoal() {
+	if h.tokens >= h.tokenGoal(p.sentAt) {
 		h.deniedWrites = 0
 	}
 	h.nextTokenWrite = p.sentAt.Add(min(minWriteInterval<<min(h.deniedWrites, 10), maxWriteInterval))
@@ -162,6 +168,21 @@
 	h.synced = false
 }
 
+// StoreRestored records that the store has come back from an older copy: the Ledger may lack this
+// node's latest tokens, and grant them to another node. The node keeps those that it has spent,
+// writes its entry again, and takes no others until the other nodes have done so too.
+func (h *Holder) StoreRestored(now time.Time) {
+	h.ReplyLost()
+	h.tokens = min(h.tokens, len(h.spent))
+	h.synced = false
+	h.deniedWrites = 0
+	h.settledAt = now.Add(restoreSettleTime)
+	h.nextTokenWrite = h.settledAt
+	if len(h.spent) > 0 {
+		h.nextTokenWrite = time.Time{}
+	}
+}
+
 // Spend takes a token to eject a server. It returns false if no valid token is left or if the
 // ejection would take the service below its floor in the given view. A server that holds a
 // token already needs no second one.
@@ -283,7 +304,11 @@
 }
 
 // tokenGoal is how many tokens the node wants: those spent, plus the larger of spareTokens and
-// the number of unhealthy servers that wait for one, but not more than it has servers.
-func (h *Holder) tokenGoal() int {
+// the number of unhealthy servers that wait for one, but not more than it has servers. After a
+// restore of the store it is those spent.
+func (h *Holder) tokenGoal(now time.Time) int {
+	if now.Before(h.settledAt) {
+		return len(h.spent)
+	}
 	return min(len(h.spent)+max(spareTokens, h.needed), len(h.backends))
 }
--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -192,6 +192,7 @@
 	if restored {
 		f.node.registration.recheckSoon()
 		f.node.sourceFollower.rereadSoon()
+		f.node.ledgers.noteRestore()
 		f.startExchanges(context.Background(), f.group.SpreadRevision)
 	}
 }
--- a/internal/proxy/node/ledgers.go
+++ b/internal/proxy/node/ledgers.go
@@ -44,6 +44,11 @@
 	b.tick(ctx)
 }
 
+// noteRestore records that the store has come back from an older copy.
+func (b *ledgers) noteRestore() {
+	b.node.side.WithController(func(t eval.Context, d *admit.Controller) { d.StoreRestored(t.Now) })
+}
+
 // update reads a service's ledger and writes it back with the node's entry
 // updated. It returns false if the store does not answer; the caller then leaves
 // the other ledgers for the next tick.
