node: departures outlive a restore of the store and the node that acknowledged them

What callers see: requests reach a backend server more than the drain time after its departure was acknowledged. The node that acknowledged it is killed, and the store does not hold the departure: it was written after the copy from which the store came back, or the store was away at the time or still is. The node starts again, a delayed announcement from before the departure arrives, and the server is in use again.

Cause: departures were kept in two places only, the node's memory and its entry in the store. After a restore the living node writes its entry again within a second, but a node that is killed before that has lost both.

Now the last four departures are part of the node's membership record, which all nodes have. Merging two versions of a record keeps the departures of both, so the record of a new run gets those of the earlier one, and a node that notices that the sender lacks some returns them with its answer. The acknowledgement waits for the first neighbour's answer (0.4 s at most, together with the write to the store). A node that starts sends its record to its neighbours and admits announcements when they have answered, or after 0.2 s; if it learns of a departure later, the server is removed. Cost: up to 12 messages of one record at a start and at a departure, whatever the size of the fleet, and 20 bytes and the server's id for each departure in a record.

TestDepartureOutlivesStoreAndRun fails on the code before in all four cases (the announcement is accepted; the server is in use 3 s after the contact with the peer). TestRestartedNodeLearnsDepartures and TestDeparturesConverge cover the membership.

--- a/internal/proxy/node/backends.go
+++ b/internal/proxy/node/backends.go
@@ -107,15 +107,15 @@
 		}
 	}
 	allowed, err = n.announce(a)
-	n.updateServing()
 	if a.State == roster.Draining && errors.Is(err, roster.ErrStale) {
 		// The server has already left, which is what a draining announcement
 		// asks for.
 		err = nil
 	}
 	if a.State == roster.Draining && err == nil && n.config.StoreDiscovery {
-		n.registration.persistDeparture(departure{Server: a.ID, Incarnation: a.Incarnation})
+		n.registration.persistDeparture(a.ID, a.Incarnation)
 	}
+	n.updateServing()
 	return allowed, err
 }
 
@@ -129,13 +129,12 @@
 		ops, known = d.Depart(t, id)
 		return ops
 	})
-	n.updateServing()
 	if n.config.StoreDiscovery {
 		// Incarnations are start times in milliseconds, so this covers every
 		// incarnation that started before now.
-		started := ident.Incarnation(n.config.Clock.Now().UnixMilli())
-		n.registration.persistDeparture(departure{Server: id, Incarnation: started})
+		n.registration.persistDeparture(id, ident.Incarnation(n.config.Clock.Now().UnixMilli()))
 	}
+	n.updateServing()
 	events.Emit(n.log, events.BackendGone, "backend-server", string(id), "known", known)
 }
 
--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -146,8 +146,8 @@
 }
 
 // exchange sends a gossip message and passes the reply, or the failure, to the
-// group.
-func (f *fleet) exchange(ctx context.Context, e member.Exchange) {
+// group. It reports whether there was a reply.
+func (f *fleet) exchange(ctx context.Context, e member.Exchange) bool {
 	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
 	defer done()
 	reply, err := call[wire.Gossip](ctx, f.node, e.Address, wire.KindGossip, toGossip(e.Message), wire.KindGossip)
@@ -159,6 +159,7 @@
 		f.group.Reply(f.node.turn(), e.To, fromGossip(reply))
 	}
 	f.unlockAndReport()
+	return err == nil
 }
 
 // receive handles another node's gossip message and returns the reply.
@@ -184,8 +185,12 @@
 	f.publishSidecars()
 	restored := f.advanceStoreEra()
 	newer := f.group.NewestRevision().Revision > f.group.AppliedRevision()
+	learned := f.group.LearnedDepartures()
 	f.mutex.Unlock()
 	f.logChanges(changes)
+	if len(learned) > 0 {
+		f.node.registration.learnDepartures(learned)
+	}
 	if newer {
 		f.signalNewerConfig()
 	}
@@ -382,6 +387,11 @@
 	for _, id := range r.Accusers {
 		w.Accusers = append(w.Accusers, string(id))
 	}
+	for _, d := range r.Departures {
+		w.Departures = append(w.Departures, &wire.Departure{
+			BackendServer: string(d.Server), Incarnation: uint64(d.Incarnation), At: d.At,
+		})
+	}
 	return w
 }
 
@@ -418,5 +428,10 @@
 	for _, id := range w.Accusers {
 		r.Accusers = append(r.Accusers, ident.Node(id))
 	}
+	for _, d := range w.Departures {
+		r.Departures = append(r.Departures, member.Departure{
+			Server: ident.Backend(d.BackendServer), Incarnation: ident.Incarnation(d.Incarnation), At: d.At,
+		})
+	}
 	return r
 }
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -96,10 +96,16 @@
 	if !n.config.StoreDiscovery {
 		return
 	}
+	service, slots := n.serving()
+	n.fleet.setServing(service, slots)
+}
+
+// serving returns the service of the backend server beside this node and its slots.
+func (n *Node) serving() (ident.Service, int) {
 	var service ident.Service
 	slots := 0
 	n.side.WithController(func(_ eval.Context, d *admit.Controller) { service, slots = d.Serving() })
-	n.fleet.setServing(service, slots)
+	return service, slots
 }
 
 // maintain expires old fences, updates the gauges and sets the share of the retry
--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -5,14 +5,13 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/base/events"
 	"github.com/figwick/figwick/internal/base/ident"
-	"github.com/figwick/figwick/internal/policy/admit"
 	"github.com/figwick/figwick/internal/state/member"
 	"github.com/figwick/figwick/internal/state/roster"
 	"github.com/figwick/figwick/internal/state/store"
@@ -33,13 +32,6 @@
 	// restoreTimeout is how long after its start a node waits for the store to
 	// return the departures that its earlier runs acknowledged.
 	restoreTimeout = time.Second
-	// announceTimeout is how long an announcement waits for those departures, and how
-	// long an acknowledgement waits for its departure to be persisted. The backend
-	// server waits one second for both.
-	announceTimeout = 400 * time.Millisecond
-	// maxDepartures is the largest number of departures that an entry holds; the
-	// oldest are dropped.
-	maxDepartures = 4
 	// minRecheckSpread and recheckSpread are the time over which the nodes check their
 	// entries after the store has come back from an older copy: at least the former, and
 	// the latter for each node. That is below the rates of calls that stores allow.
@@ -64,36 +56,26 @@
 		// entriesRead reports that the other nodes' entries have been read at least once.
 		entriesRead bool
 		renewAt     time.Time
-		// writeMutex serializes writes of the entry and guards lease, version, departures
-		// and unsaved.
+		// writeMutex serializes writes of the entry and guards lease and version.
 		writeMutex sync.Mutex
 		lease      store.Lease
 		version    store.Version
-		// departures holds the departures of backend servers that this node has
-		// acknowledged, in this run or an earlier one.
-		departures []departure
-		// unsaved reports that the stored entry may lack some of the departures.
-		unsaved bool
+		// unsaved reports that the stored entry may lack some of the departures of the
+		// node's record.
+		unsaved atomic.Bool
 		// restored is closed once the departures acknowledged by earlier runs have
-		// been restored, or the wait for the store has timed out.
+		// been restored, or the wait for them has timed out.
 		restored    chan struct{}
 		restoreOnce sync.Once
 	}
 
 	// entryValue is the JSON value of an entry.
 	entryValue struct {
-		Address     string            `json:"address"`
-		Zone        ident.Zone        `json:"zone"`
-		Instance    ident.Instance    `json:"instance"`
-		Incarnation ident.Incarnation `json:"incarnation"`
-		Departures  []departure       `json:"left,omitempty"`
-	}
-
-	// departure records that a backend server left with the given incarnation.
-	// Announcements with the same or a lower incarnation are stale.
-	departure struct {
-		Server      ident.Backend     `json:"backend-server"`
-		Incarnation ident.Incarnation `json:"incarnation"`
+		Address     string             `json:"address"`
+		Zone        ident.Zone         `json:"zone"`
+		Instance    ident.Instance     `json:"instance"`
+		Incarnation ident.Incarnation  `json:"incarnation"`
+		Departures  []member.Departure `json:"left,omitempty"`
 	}
 )
 
@@ -140,6 +122,12 @@
 	if err == nil && (!e.entriesRead || len(e.node.fleet.live()) < 2) {
 		err = e.discover(ctx)
 	}
+	if err == nil && !e.admitting() {
+		asking, done := context.WithTimeout(ctx, neighbourTimeout)
+		e.node.fleet.askNeighbours(asking)
+		done()
+		e.admitAnnouncements()
+	}
 	switch {
 	case err != nil:
 		return retryInterval
@@ -176,7 +164,6 @@
 	if err := e.register(ctx); err != nil {
 		return err
 	}
-	e.restoreDepartures(nil)
 	e.registered = true
 	e.renewAt = now.Add(renewInterval)
 	return nil
@@ -244,56 +231,33 @@
 // write stores the entry by compare-and-swap on the last known version. On a
 // conflict it returns the item that is stored. The writing mutex is held.
 func (e *registration) write(ctx context.Context) (store.Item, error) {
+	e.unsaved.Store(false)
 	self := e.node.fleet.self()
 	text, err := json.Marshal(entryValue{
-		Address: self.Address, Zone: self.Zone, Instance: self.Instance, Incarnation: self.Incarnation, Departures: e.departures,
+		Address: self.Address, Zone: self.Zone, Instance: self.Instance, Incarnation: self.Incarnation, Departures: self.Departures,
 	})
 	if err != nil {
 		return store.Item{}, errors.Wrap(err, "node: encode entry")
 	}
 	item, err := e.store.CAS(ctx, e.key(), text, e.version, e.lease)
-	if err == nil {
-		e.version = item.Version
-		e.unsaved = false
+	if err != nil {
+		e.unsaved.Store(true)
+		return item, err
 	}
-	return item, err
+	e.version = item.Version
+	return item, nil
 }
 
 // saveDepartures writes the entry again if the stored one may lack departures.
 func (e *registration) saveDepartures(ctx context.Context) error {
 	e.writeMutex.Lock()
 	defer e.writeMutex.Unlock()
-	if !e.unsaved {
+	if !e.unsaved.Load() {
 		return nil
 	}
 	return e.replace(ctx)
 }
 
-// persistDeparture persists a departure in the node's entry before it is
-// acknowledged to the backend server. After a restart, the node then still rejects
-// stale announcements of that server. If the store is unreachable or the write
-// fails, the departure is kept in memory and written soon after.
-func (e *registration) persistDeparture(d departure) {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
-	if slices.Contains(e.departures, d) {
-		return
-	}
-	e.departures = append(e.departures, d)
-	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
-	e.unsaved = true
-	if e.version.IsZero() || e.store.unreachable.Load() {
-		e.recheckSoon()
-		return
-	}
-	ctx, done := context.WithTimeout(context.Background(), announceTimeout)
-	defer done()
-	if _, err := e.write(ctx); err != nil {
-		events.Emit(e.node.log, events.DepartureUnkept, "backend-server", string(d.Server), "error", err)
-		e.recheckSoon()
-	}
-}
-
 // restoreFrom restores the departures from the entry of an earlier run. Those of this run are
 // known; a server among them may have been started anew since. The writing mutex is held.
 func (e *registration) restoreFrom(present store.Item) {
@@ -302,25 +266,29 @@
 		events.Emit(e.node.log, events.EntryBroken, "key", present.Key, "error", err)
 		return
 	}
-	older := slices.DeleteFunc(slices.Clone(l.Departures), func(d departure) bool { return slices.Contains(e.departures, d) })
-	e.departures = append(older, e.departures...)
-	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
+	known := e.node.fleet.self().Departures
+	older := slices.DeleteFunc(l.Departures, func(d member.Departure) bool { return slices.Contains(known, d) })
+	e.node.fleet.addDepartures(older)
 	if l.Instance != e.node.instance {
 		e.restoreDepartures(older)
 	}
 }
 
-// restoreDepartures restores departures in the sidecar's controller and admits
-// announcements from now on.
-func (e *registration) restoreDepartures(left []departure) {
-	for _, l := range left {
-		e.node.side.Do(func(t eval.Context, d *admit.Controller) admit.Ops {
-			return d.RestoreDeparture(t, l.Server, l.Incarnation)
-		})
-	}
+// admitAnnouncements admits announcements from now on.
+func (e *registration) admitAnnouncements() {
 	e.restoreOnce.Do(func() { close(e.restored) })
 }
 
+// admitting reports whether announcements are admitted.
+func (e *registration) admitting() bool {
+	select {
+	case <-e.restored:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitRestore waits up to announceTimeout until the departures of earlier runs have
 // been restored. It returns roster.ErrStale if they have not. Once restoreTimeout has
 // passed since the start of the node, it gives up and admits announcements without
@@ -331,7 +299,7 @@
 		return nil
 	case <-e.node.config.Clock.After(announceTimeout):
 		if e.node.config.Clock.Since(e.node.started) > restoreTimeout {
-			e.restoreDepartures(nil)
+			e.admitAnnouncements()
 			return nil
 		}
 		return errors.Wrap(roster.ErrStale, "node: not known yet what an earlier run has acknowledged")
--- a/internal/proxy/node/registration_test.go
+++ b/internal/proxy/node/registration_test.go
@@ -38,7 +38,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	_ = n.registration.renew(ctx, time.Now())
+	n.registration.step(ctx)
 	return n
 }
 
@@ -181,7 +181,7 @@
 			defer cancel()
 
 			kv.Inject(c.faults)
-			first.registration.persistDeparture(departure{Server: "i-0", Incarnation: 1000})
+			first.registration.persistDeparture("i-0", 1000)
 			_, err := first.Announce(word(5, roster.Draining))
 			assert.NilError(t, err)
 			kv.Inject(kvs.Faults{})
--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -52,6 +52,9 @@
 	maxBudgetBytes = 512 << 10
 	// recordBytes is the approximate size of a record on the wire.
 	recordBytes = 90
+	// departureBytes is the approximate size of a departure on the wire without the
+	// id of its backend server.
+	departureBytes = 20
 	// maxSampleRecords limits the random sample of live nodes in the answer to a
 	// node that was unknown or dead.
 	maxSampleRecords = 48
@@ -120,6 +123,7 @@
 		storeEra          store.Era
 		newest            RevisionSource
 		changes           []Change
+		learnedDepartures []Departure
 		budgetBytes       float64
 		budgetRefilledAt  time.Time
 		nextDeadProbe     time.Time
@@ -255,11 +259,14 @@
 	unknownOrDead := !known || e.state == Dead
 	g.merge(t.Now, m)
 	if unknownOrDead {
-		return g.sampleMessage(t, m.From)
+		answer := g.sampleMessage(t, m.From)
+		g.returnDepartures(m, &answer)
+		return answer
 	}
 	p := g.peer(m.From)
 	p.failures = 0
 	answer := g.message(p, m.From)
+	g.returnDepartures(m, &answer)
 	p.ackedSeq = p.sentSeq
 	g.compareDigests(p, m)
 	return answer
@@ -497,7 +504,7 @@
 	for _, e := range unsent[:min(len(unsent), limit)] {
 		m.Records = append(m.Records, e.Record)
 		p.sentSeq = max(p.sentSeq, e.changeSeq)
-		g.budgetBytes -= recordBytes
+		g.budgetBytes -= e.wireBytes()
 	}
 	return m
 }
--- a/internal/state/member/merge.go
+++ b/internal/state/member/merge.go
@@ -48,6 +48,7 @@
 // that gossip doesn't bring back a dead node that has been deleted here.
 func (g *Group) mergeRecord(now time.Time, r *Record, from ident.Node) {
 	if r.ID == g.self {
+		g.learnDepartures(now, r.Departures)
 		g.refute(now, r)
 		return
 	}
@@ -65,13 +66,24 @@
 			g.peer(r.ID).ackedSeq = 0
 			g.live = nil
 		}
+		known := e.Departures
 		e.Record = *r
+		if e.addDepartures(known) {
+			// The sender lacks some of them.
+			from = ""
+		}
 	case r.sameVersion(&e.Record):
 		if !e.mergeSameVersion(r) {
 			return
 		}
+		if !slices.Equal(e.Departures, r.Departures) {
+			from = ""
+		}
 	default:
-		return
+		if !e.addDepartures(r.Departures) {
+			return
+		}
+		from = ""
 	}
 	g.noteChange(now, e, from)
 	if !e.Gone {
--- a/internal/state/member/record.go
+++ b/internal/state/member/record.go
@@ -52,6 +52,9 @@
 		Slots int
 		// StoreUnreachable reports that the node cannot reach the store.
 		StoreUnreachable bool
+		// Departures are the last departures that the node has acknowledged, in any of
+		// its runs. They do not depend on the version: merging records keeps those of both.
+		Departures []Departure
 	}
 
 	// entry is a Record with the local state that belongs to it.
@@ -95,7 +98,7 @@
 	for _, accuser := range b.Accusers {
 		changed = a.accuse(accuser) || changed
 	}
-	return changed
+	return a.addDepartures(b.Departures) || changed
 }
 
 // accuse adds an accuser and reports whether it is new. It copies the slice, which
@@ -144,9 +147,23 @@
 	for _, accuser := range a.Accusers {
 		writeString(string(accuser))
 	}
+	for _, left := range a.Departures {
+		writeString(string(left.Server))
+		writeUint(uint64(left.Incarnation))
+		writeUint(left.At)
+	}
 	return d.Sum64()
 }
 
+// wireBytes returns the approximate size of the record on the wire.
+func (a *Record) wireBytes() float64 {
+	size := recordBytes
+	for _, d := range a.Departures {
+		size += len(d.Server) + departureBytes
+	}
+	return float64(size)
+}
+
 // String returns the state as it is written in status output and dumps.
 func (s State) String() string {
 	return [...]string{"alive", "suspect", "leaving", "dead"}[s]
