keys: the answer to a claimed key is recorded after a restore of the store

What callers see: a request with an idempotency key runs a second time, although its first submission has been answered. The store came back from an older copy between the claim and the answer, so the record could not be written: its lease and its version were of the lost history. The key stayed pending or was free.

Cause: Finish wrote once, under the lease and over the version that the registry had, while Claim takes a new lease if the store has lost the present one. The failed write was not followed by another.

Now Finish takes a new lease too, and after a conflict reads the record: it writes over its own claim, or creates the record if there is none. The record of another submission stays.

TestAnswerIsRecordedAfterRestore and TestAnswerLeavesOtherClaim fail on the code before ("store: lease lost"). Found by reading.

--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -104,6 +104,12 @@
 		Claim  ident.Attempt `json:"claim"`
 		Answer *Answer       `json:"answer,omitempty"`
 	}
+
+	// stored is a record at its version.
+	stored struct {
+		record  record
+		version store.Version
+	}
 )
 
 // NewRegistry returns a Registry.
@@ -115,9 +121,9 @@
 // returns ErrUnavailable if the state is unknown; the request must not run then.
 func (r *Registry) Claim(ctx context.Context, k Key) (*Claim, error) {
 	c := &Claim{State: Claimed, key: k.storeKey(), record: record{Claim: ident.NewAttempt()}}
-	err := r.create(ctx, c)
+	err := r.update(ctx, c)
 	if errors.Is(err, store.ErrLeaseLost) {
-		err = r.create(ctx, c)
+		err = r.update(ctx, c)
 	}
 	switch {
 	case err == nil:
@@ -129,34 +135,50 @@
 	}
 }
 
-// create creates a key's record under the current lease. If that lease is lost,
-// create drops it, so that the next call takes a new one.
-func (r *Registry) create(ctx context.Context, c *Claim) error {
-	lease, err := r.currentLease(ctx)
-	if err != nil {
-		return err
-	}
-	item, err := r.write(ctx, c, store.Version{}, lease)
-	if errors.Is(err, store.ErrLeaseLost) {
-		r.dropLease(lease)
-	}
-	c.version = item.Version
-	return err
-}
-
 // Finish records the answer to a claimed key. It drops a body above MaxAnswerBytes.
-// On an error the key may stay Pending until its lease ends.
+// On an error the key may stay Pending until its lease ends. If the store has lost the
+// claim, the record is written anew, unless another submission has the key now.
 func (r *Registry) Finish(ctx context.Context, c *Claim, a Answer) error {
 	if len(a.Body) > MaxAnswerBytes {
 		a.Body = nil
 		a.BodyOmitted = true
 	}
 	c.record.Answer = &a
+	err := r.update(ctx, c)
+	if errors.Is(err, store.ErrLeaseLost) {
+		err = r.update(ctx, c)
+	}
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	present, readErr := r.read(ctx, c.key)
+	switch {
+	case errors.Is(readErr, store.ErrNotFound):
+		c.version = store.Version{}
+	case readErr != nil:
+		return readErr
+	case present.record.Claim != c.record.Claim:
+		return err
+	default:
+		c.version = present.version
+	}
+	return r.update(ctx, c)
+}
+
+// update writes a key's record at its version under the current lease. If that lease is
+// lost, update drops it, so that the next call takes a new one.
+func (r *Registry) update(ctx context.Context, c *Claim) error {
 	lease, err := r.currentLease(ctx)
 	if err != nil {
 		return err
 	}
-	_, err = r.write(ctx, c, c.version, lease)
+	item, err := r.write(ctx, c, c.version, lease)
+	if errors.Is(err, store.ErrLeaseLost) {
+		r.dropLease(lease)
+	}
+	if err == nil {
+		c.version = item.Version
+	}
 	return err
 }
 
@@ -177,22 +199,31 @@
 // readExisting reads the record that kept a claim from being created. If it has the
 // claim's own id, the claim succeeded and only the store's reply was lost.
 func (r *Registry) readExisting(ctx context.Context, c *Claim) (*Claim, error) {
-	item, err := r.config.Store.Get(ctx, c.key)
+	found, err := r.read(ctx, c.key)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "keys: read back"), ErrUnavailable)
-	}
-	var found record
-	if err := json.Unmarshal(item.Value, &found); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "keys: decode"), ErrUnavailable)
+		return nil, errors.Mark(err, ErrUnavailable)
 	}
-	if found.Claim == c.record.Claim {
-		c.version = item.Version
+	if found.record.Claim == c.record.Claim {
+		c.version = found.version
 		return c, nil
 	}
-	if found.Answer == nil {
+	if found.record.Answer == nil {
 		return &Claim{State: Pending}, nil
 	}
-	return &Claim{State: Done, Answer: found.Answer}, nil
+	return &Claim{State: Done, Answer: found.record.Answer}, nil
+}
+
+// read reads the record of a key.
+func (r *Registry) read(ctx context.Context, key string) (stored, error) {
+	item, err := r.config.Store.Get(ctx, key)
+	if err != nil {
+		return stored{}, errors.Wrap(err, "keys: read back")
+	}
+	found := stored{version: item.Version}
+	if err := json.Unmarshal(item.Value, &found.record); err != nil {
+		return stored{}, errors.Wrap(err, "keys: decode")
+	}
+	return found, nil
 }
 
 // currentLease returns the lease for new records and takes one if there is none
--- a/internal/state/keys/keys_test.go
+++ b/internal/state/keys/keys_test.go
@@ -9,10 +9,54 @@
 
 	"github.com/figwick/figwick/internal/fake/kvs"
 	"github.com/figwick/figwick/internal/state/keys"
+	"github.com/figwick/figwick/internal/state/store"
 )
 
 var key = keys.Key{Service: "ledger", Caller: "chandler", Text: "order-1"}
 
+// TestAnswerIsRecordedAfterRestore guards against a second run of a request whose answer could not be
+// recorded: the store came back from an older copy between the claim and the answer. The copy is from
+// before the claim or from after it, and the node has a lease that the store lost.
+func TestAnswerIsRecordedAfterRestore(t *testing.T) {
+	for _, copied := range []string{"before the claim", "after the claim"} {
+		t.Run(copied, func(t *testing.T) {
+			s := kvs.New(clockwork.NewFakeClock())
+			a := keys.NewRegistry(keys.Config{Store: s, Clock: clockwork.NewFakeClock()})
+			b := keys.NewRegistry(keys.Config{Store: s, Clock: clockwork.NewFakeClock()})
+			saved := s.Snapshot()
+			claim, err := a.Claim(t.Context(), key)
+			assert.NilError(t, err)
+			if copied == "after the claim" {
+				saved = s.Snapshot()
+			}
+			s.Restore(saved)
+			assert.NilError(t, a.Finish(t.Context(), claim, keys.Answer{Status: 201, Body: []byte("placed")}))
+			other, err := b.Claim(t.Context(), key)
+			assert.NilError(t, err)
+			assert.Equal(t, other.State, keys.Done)
+			assert.Equal(t, string(other.Answer.Body), "placed")
+		})
+	}
+}
+
+// TestAnswerLeavesOtherClaim guards against a record of another submission that is replaced: it claimed
+// the key after the store had come back from a copy without the first claim.
+func TestAnswerLeavesOtherClaim(t *testing.T) {
+	s := kvs.New(clockwork.NewFakeClock())
+	a := keys.NewRegistry(keys.Config{Store: s, Clock: clockwork.NewFakeClock()})
+	b := keys.NewRegistry(keys.Config{Store: s, Clock: clockwork.NewFakeClock()})
+	saved := s.Snapshot()
+	claim, err := a.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	s.Restore(saved)
+	_, err = b.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	assert.ErrorIs(t, a.Finish(t.Context(), claim, keys.Answer{Status: 201}), store.ErrConflict)
+	other, err := b.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	assert.Equal(t, other.State, keys.Pending)
+}
+
 func TestKeys(t *testing.T) {
 	for _, c := range []struct {
 		name string
