--- a/internal/proxy/node/departures_test.go
+++ b/internal/proxy/node/departures_test.go
@@ -45,7 +45,7 @@
 	n, err := New(Config{
 		ID: id, Zone: "a", Address: listener.Addr().String(), Store: kv, StoreDiscovery: true, Join: seeds,
 		Listeners: Listeners{Callers: listener, Peers: listener}, ExtraListeners: []ExtraListener{{}},
-		Clock: clockwork.NewRealClock(), Random: eval.NewRandom(1), Log: hclog.NewNullLogger(), Scope: tally.NoopScope,
+		Clock: clockwork.NewRealClock(), Random: eval.GlobalRandom{}, Log: hclog.NewNullLogger(), Scope: tally.NoopScope,
 	})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
