keys: no key is claimed twice after the store has come back from an older copy

What callers see: a request with an idempotency key runs twice. The store came back from a copy without the claim of the first submission, which is running or has just been answered, and a second submission gets the key.

Cause: the claim was only in the store.

A claim whose own write showed the restore is released again.

TestClaimSurvivesRestore: in its first form (claim, restore, second claim) it failed on the code before with "the key was claimed twice". On the platform no caller sends a key. Found by reading.

--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -69,6 +69,7 @@
 	DepartureUnkept   = Event{605, "departure-unkept", hclog.Warn, "The departure of a backend server was acknowledged, but could not be stored for the next run of this node."}
 	StoreRestored     = Event{606, "store-restored", hclog.Warn, "The store has come back from an older copy of its data; what it acknowledged since that copy is lost."}
 	DepartureRestored = Event{607, "departure-restored", hclog.Info, "The node learned of the departure of a backend server that it had acknowledged before its restart."}
+	ClaimsUnwritten   = Event{608, "claims-unwritten", hclog.Warn, "Claims of idempotency keys could not be written again after the store had come back from an older copy."}
 )
 
 // All returns the catalogue in the order of its numbers.
@@ -79,7 +80,7 @@
 		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused, AttemptFailed,
 		OutcomeUnknown, AnswerRecovered, AnswerCut, RequestRefused, FailurePassed,
 		NodeJoined, NodeSuspected, NodeDead, NodeBack, PeerRefused,
-		StoreAway, StoreBack, EntryLost, EntryBroken, DepartureUnkept, StoreRestored, DepartureRestored,
+		StoreAway, StoreBack, EntryLost, EntryBroken, DepartureUnkept, StoreRestored, DepartureRestored, ClaimsUnwritten,
 	}
 }
 
--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -198,6 +198,7 @@
 		f.node.registration.recheckSoon()
 		f.node.sourceFollower.rereadSoon()
 		f.node.ledgers.noteRestore()
+		f.node.keepClaims()
 		f.startExchanges(context.Background(), f.group.SpreadRevision)
 	}
 }
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -156,6 +156,7 @@
 		side           *side.Server
 		front          *front.Server
 		fleet          *fleet
+		keys           *keys.Registry
 		directory      *directory
 		configs        *configSync
 		ledgers        *ledgers
@@ -233,7 +234,8 @@
 	n.fleet = newFleet(n)
 	watched.changed = n.fleet.setStoreUnreachable
 	watched.onEra = append(watched.onEra, n.fleet.noteStoreEra)
-	n.front = n.newFront(watched)
+	n.keys = keys.NewRegistry(keys.Config{Store: watched, Clock: c.Clock})
+	n.front = n.newFront()
 	n.sourceFollower = &sourceFollower{node: n, store: watched}
 	n.registration = &registration{node: n, store: watched, restored: make(chan struct{}), recheck: make(chan struct{}, 1)}
 	n.configs = &configSync{node: n, store: watched}
@@ -243,8 +245,8 @@
 	return n, nil
 }
 
-// newFront returns the ingress. Idempotency keys are kept in the given store.
-func (n *Node) newFront(watched keys.Store) *front.Server {
+// newFront returns the ingress.
+func (n *Node) newFront() *front.Server {
 	c := &n.config
 	return front.NewServer(front.Config{
 		Clock:  c.Clock,
@@ -255,7 +257,7 @@
 		Zone:   c.Zone,
 		Finder: n.finder(),
 		Relays: n.fleet,
-		Keys:   keys.NewRegistry(keys.Config{Store: watched, Clock: c.Clock}),
+		Keys:   n.keys,
 
 		HeaderCodec:        c.CallerCodec,
 		Origin:             c.Origin,
--- a/internal/proxy/node/writeback.go
+++ b/internal/proxy/node/writeback.go
@@ -19,6 +19,10 @@
 	// writeBackPeriod is how long after that the store's configuration is compared with the
 	// one in force. An apply that began before may delete chunks late.
 	writeBackPeriod = time.Minute
+	// keepClaimsTimeout is how long a node tries to write its claims again, and
+	// keepClaimsRetry the wait after a failed store call.
+	keepClaimsTimeout = time.Minute
+	keepClaimsRetry   = time.Second
 	// peerConfigTimeout is the timeout for fetching a newer configuration from a peer
 	// before an apply.
 	peerConfigTimeout = 3 * time.Second
@@ -66,6 +70,27 @@
 	c.restored.note(c.node.config.Clock.Now())
 }
 
+// keepClaims writes the claims of idempotency keys to the store again after it has come back from an
+// older copy. It doesn't wait for the store.
+func (n *Node) keepClaims() {
+	n.keys.Settle()
+	go func() {
+		ctx, done := context.WithTimeout(context.Background(), keepClaimsTimeout)
+		defer done()
+		for ctx.Err() == nil {
+			err := n.keys.WriteBack(ctx)
+			if err == nil {
+				return
+			}
+			events.Emit(n.log, events.ClaimsUnwritten, "error", err)
+			select {
+			case <-n.config.Clock.After(keepClaimsRetry):
+			case <-ctx.Done():
+			}
+		}
+	}()
+}
+
 // writeBack writes the configuration in force to the store if the store has lost it. The
 // watchers do so. An error is logged and the next call tries again.
 func (c *configSync) writeBack(ctx context.Context) {
--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -39,9 +39,13 @@
 	Done
 )
 
-// ErrUnavailable marks a key whose state is unknown because the store did not
-// answer or its record cannot be decoded.
-var ErrUnavailable = errors.New("keys: store unavailable")
+var (
+	// ErrUnavailable marks a key whose state is unknown because the store did not
+	// answer, its record cannot be decoded, or the store has lost records.
+	ErrUnavailable = errors.New("keys: store unavailable")
+
+	errRestored = errors.Wrap(ErrUnavailable, "keys: the store has come back from an older copy")
+)
 
 type (
 	// State is the state of a key as Registry.Claim found it.
@@ -67,9 +71,11 @@
 	// Claim is the result of Registry.Claim. Answer is set if State is Done. Only a
 	// Claim in the state Claimed may be passed to Finish or Release.
 	Claim struct {
-		State   State
-		Answer  *Answer
-		key     string
+		State  State
+		Answer *Answer
+		key    string
+		// mutex guards the fields below.
+		mutex   sync.Mutex
 		version store.Version
 		record  record
 	}
@@ -96,6 +102,7 @@
 		mutex    sync.Mutex
 		lease    store.Lease
 		leasedAt time.Time
+		held     heldClaims
 	}
 
 	// record is the stored value of a key.
@@ -120,7 +127,28 @@
 // Claim claims a key or returns the state in which another submission left it. It
 // returns ErrUnavailable if the state is unknown; the request must not run then.
 func (r *Registry) Claim(ctx context.Context, k Key) (*Claim, error) {
+	if r.held.settling(r.config.Clock.Now()) {
+		return nil, errRestored
+	}
 	c := &Claim{State: Claimed, key: k.storeKey(), record: record{Claim: ident.NewAttempt()}}
+	r.held.add(r.config.Clock.Now(), c)
+	found, err := r.claim(ctx, c)
+	switch {
+	case err != nil || found != c:
+		r.held.remove(c)
+		return found, err
+	case r.held.settling(r.config.Clock.Now()):
+		// The key may belong to a claim that the copy lacks.
+		return nil, errors.CombineErrors(errRestored, r.Release(ctx, c))
+	default:
+		return c, nil
+	}
+}
+
+// claim writes the record of a claim. If the key is taken, it returns the claim that has it.
+func (r *Registry) claim(ctx context.Context, c *Claim) (*Claim, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	err := r.update(ctx, c)
 	if errors.Is(err, store.ErrLeaseLost) {
 		err = r.update(ctx, c)
@@ -143,7 +171,16 @@
 		a.Body = nil
 		a.BodyOmitted = true
 	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.record.Answer = &a
+	r.held.finish(r.config.Clock.Now(), c)
+	return r.rewrite(ctx, c)
+}
+
+// rewrite writes a claim's record over what is stored of the same claim, or creates it. It returns
+// store.ErrConflict if another submission has the key. The claim's mutex is held.
+func (r *Registry) rewrite(ctx context.Context, c *Claim) error {
 	err := r.update(ctx, c)
 	if errors.Is(err, store.ErrLeaseLost) {
 		err = r.update(ctx, c)
@@ -184,6 +221,9 @@
 
 // Release deletes the record of a claimed key whose request was not run.
 func (r *Registry) Release(ctx context.Context, c *Claim) error {
+	r.held.remove(c)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	return r.config.Store.Delete(ctx, c.key, c.version)
 }
 
--- a/internal/state/keys/keys_test.go
+++ b/internal/state/keys/keys_test.go
@@ -1,7 +1,10 @@
 package keys_test
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -12,6 +15,21 @@
 	"github.com/figwick/figwick/internal/state/store"
 )
 
+// noticing is a store that calls notice with each write, as a node does that learns of a restore by a
+// response.
+type noticing struct {
+	*kvs.Store
+	notice func()
+}
+
+func (s *noticing) CAS(
+	ctx context.Context, key string, value []byte, version store.Version, lease store.Lease,
+) (store.Item, error) {
+	item, err := s.Store.CAS(ctx, key, value, version, lease)
+	s.notice()
+	return item, err
+}
+
 var key = keys.Key{Service: "ledger", Caller: "chandler", Text: "order-1"}
 
 // TestAnswerIsRecordedAfterRestore guards against a second run of a request whose answer could not be
@@ -57,6 +75,69 @@
 	assert.Equal(t, other.State, keys.Pending)
 }
 
+// TestClaimSurvivesRestore guards against a request that runs twice: the store came back from a copy
+// without the claim of the first submission, which is running or has just been answered, and a second
+// submission gets the key. The node of the second knows of the restore before its call or learns of it
+// by the call.
+func TestClaimSurvivesRestore(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		for _, aware := range []bool{false, true} {
+			t.Run(fmt.Sprintf("answered=%t,aware=%t", answered, aware), func(t *testing.T) {
+				clock := clockwork.NewFakeClock()
+				s := kvs.New(clock)
+				a := keys.NewRegistry(keys.Config{Store: s, Clock: clock})
+				second := &noticing{Store: s}
+				b := keys.NewRegistry(keys.Config{Store: second, Clock: clock})
+				saved := s.Snapshot()
+				claim, err := a.Claim(t.Context(), key)
+				assert.NilError(t, err)
+				if answered {
+					assert.NilError(t, a.Finish(t.Context(), claim, keys.Answer{Status: 201}))
+				}
+				s.Restore(saved)
+				second.notice = b.Settle
+				if aware {
+					b.Settle()
+				}
+				_, err = b.Claim(t.Context(), key)
+				assert.ErrorIs(t, err, keys.ErrUnavailable)
+				second.notice = func() {}
+
+				a.Settle()
+				assert.NilError(t, a.WriteBack(t.Context()))
+				clock.Advance(time.Minute)
+				other, err := b.Claim(t.Context(), key)
+				assert.NilError(t, err)
+				want := keys.Pending
+				if answered {
+					want = keys.Done
+				}
+				assert.Equal(t, other.State, want)
+			})
+		}
+	}
+}
+
+// TestReleasedClaimIsNotWrittenBack guards against a key that stays taken although its request was not
+// run, and against claims that are held for ever.
+func TestReleasedClaimIsNotWrittenBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := kvs.New(clock)
+	a := keys.NewRegistry(keys.Config{Store: s, Clock: clock})
+	saved := s.Snapshot()
+	claim, err := a.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	assert.NilError(t, a.Release(t.Context(), claim))
+	_, err = a.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	clock.Advance(time.Hour)
+	s.Restore(saved)
+	assert.NilError(t, a.WriteBack(t.Context()))
+	other, err := a.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	assert.Equal(t, other.State, keys.Claimed)
+}
+
 func TestKeys(t *testing.T) {
 	for _, c := range []struct {
 		name string
