conns: a request that has been read is not dropped by a connection's close

What callers saw: nothing yet, or a connection closed without an answer to a request that the stopping node had read.

Cause: the stop closed a connection whose Read was waiting for the next request. A Read that had its data but had not returned yet looked the same, and the data was dropped. The same happened to data that had arrived but not been read.

Change: such a connection is not closed but its Read is told to return, by a read deadline in the past. If it returns data all the same, the request is served, with "Connection: close". If it does not, the server closes the connection. A connection with a part of a header is closed as before: told to return, net/http takes that part for a whole line and answers 400.

Evidence: TestRequestReadWhileClosingIsAnswered fails without the change ("unexpected EOF") and passes with it, three runs under the race detector.

Why it works: whether the connection ends is decided where the data is read, in one place. The server's own deadline is set again when data has arrived.

--- a/internal/proxy/conns/conns.go
+++ b/internal/proxy/conns/conns.go
@@ -55,8 +55,12 @@
 		untouched bool
 		// lastRead is when data was last read, or when the connection was accepted.
 		lastRead time.Time
-		isHTTP2  bool
-		closed   bool
+		// deadline is the read deadline that the server has set.
+		deadline time.Time
+		// interrupted reports that the Read that waits was told to return.
+		interrupted bool
+		isHTTP2     bool
+		closed      bool
 		// answered reports that the handler of the last request has returned.
 		answered bool
 		// untilClose reports that the end of the connection may be the end of a
@@ -111,7 +115,7 @@
 }
 
 // CloseIdle closes the HTTP/1 connections on which no request is in progress and returns
-// the number of those that remain.
+// the number of HTTP/1 connections that were still open.
 func (t *Tracker) CloseIdle() int {
 	t.mutex.Lock()
 	open := make([]*conn, 0, len(t.conns))
@@ -160,8 +164,9 @@
 	c.untouched = state == http.StateIdle
 }
 
-// Read reads from the connection. Data that arrives while the connection is being closed
-// is dropped, so that the server does not handle a request that it cannot answer.
+// Read reads from the connection. A connection that was to be closed stays open if Read has
+// read the start of a request. What arrives after a part of one, while the connection is
+// being closed, is dropped.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mutex.Lock()
 	c.reading = true
@@ -173,6 +178,12 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
+	if c.interrupted && n > 0 {
+		c.interrupted = false
+		if err := c.Conn.SetReadDeadline(c.deadline); err != nil {
+			return n, err
+		}
+	}
 	if n > 0 {
 		if c.state == http.StateNew && bytes.HasPrefix(p[:n], preface) {
 			c.isHTTP2 = true
@@ -194,15 +205,28 @@
 	c.untilClose = !r.ProtoAtLeast(1, 1)
 }
 
-// closeIfIdle marks the connection as closed if no request is in progress on it, and
-// reports whether it is marked and not lingering.
+// SetReadDeadline sets the read deadline.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// closeIfIdle ends the connection if no request is in progress on it, and reports whether it
+// is to be closed. It is not if the server waits for the next request: then Read is told to
+// return, upon which the server closes the connection, unless a request has arrived.
 func (c *conn) closeIfIdle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.lingering {
-		return false
+	switch {
+	case c.lingering || c.closed || !c.idle():
+	case c.untouched:
+		c.interrupted = true
+		_ = c.Conn.SetReadDeadline(time.Unix(0, 0))
+	default:
+		c.closed = true
 	}
-	c.closed = c.closed || c.idle()
 	return c.closed
 }
 
--- a/internal/proxy/conns/conns_test.go
+++ b/internal/proxy/conns/conns_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +38,12 @@
 }
 
 func start(t *testing.T) *bench {
+	t.Helper()
+	return startWith(t, func(l net.Listener) net.Listener { return l })
+}
+
+// startWith starts a server on a listener that wrap returns.
+func startWith(t *testing.T, wrap func(net.Listener) net.Listener) *bench {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	b := &bench{
@@ -51,7 +58,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	b.address = l.Addr().String()
-	tracked := b.tracker.Listen(l)
+	tracked := b.tracker.Listen(wrap(l))
 	go func() { b.served <- b.server.Serve(tracked) }()
 	t.Cleanup(func() { _ = b.server.Close() })
 	return b
@@ -187,3 +194,52 @@
 	assert.NilError(t, again.Body.Close())
 	assert.NilError(t, b.server.Shutdown(t.Context()))
 }
+
+// heldListener accepts connections whose reads, while hold is set, return data only after a
+// value from release.
+type heldListener struct {
+	net.Listener
+	hold          atomic.Bool
+	read, release chan struct{}
+}
+
+type heldConn struct {
+	net.Conn
+	l *heldListener
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &heldConn{Conn: c, l: l}, err
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.l.hold.Load() {
+		c.l.read <- struct{}{}
+		<-c.l.release
+	}
+	return n, err
+}
+
+// TestRequestReadWhileClosingIsAnswered guards against a request that is read from a
+// connection and dropped, because the connection is closed as idle at that moment.
+func TestRequestReadWhileClosingIsAnswered(t *testing.T) {
+	held := &heldListener{read: make(chan struct{}), release: make(chan struct{})}
+	b := startWith(t, func(l net.Listener) net.Listener {
+		held.Listener = l
+		return held
+	})
+	c, reader := b.dial()
+	b.send(c, get)
+	assert.Check(t, !b.receive(reader))
+	held.hold.Store(true)
+	b.send(c, get)
+	<-held.read
+	held.hold.Store(false)
+	b.tracker.Drain()
+	b.tracker.CloseIdle()
+	held.release <- struct{}{}
+	assert.Check(t, b.receive(reader))
+	b.awaitRemaining(0)
+}
