front: outcome-unknown tells how long the request had waited

The log did not tell whether a request that a stop ended without a known outcome had arrived early in the stop or late: refusing the late ones is what a stopping node can do, but the early ones take longer than the stop. request-refused had these fields already.

--- a/internal/proxy/front/problem.go
+++ b/internal/proxy/front/problem.go
@@ -64,7 +64,8 @@
 func (x *exchange) unknown(step, peer, detail string) {
 	x.server.config.Meter.Unknown.Inc(1)
 	events.Emit(x.server.config.Log, events.OutcomeUnknown, "request", x.options.ID, "service", x.service(),
-		"step", step, "peer", peer, "detail", detail, "method", x.request.Method, "host", x.request.Host)
+		"step", step, "peer", peer, "detail", detail, "method", x.request.Method, "host", x.request.Host,
+		"attempts", x.plan.Attempts(), "waited", x.now().Sub(x.arrived).String(), "repeatable", x.repeatable)
 	status := http.StatusBadGateway
 	if !x.server.config.Clock.Now().Before(x.deadline) && !x.deadline.IsZero() {
 		status = http.StatusGatewayTimeout
