front: a request that waits for the store of the keys is answered before a stop ends

What callers saw: a request with an idempotency key lost its connection without an answer in a planned stop, while the store was slow or away. It waited for up to two seconds to claim the key, or with its response at hand to store it there.

Cause: the operations on a key's record were bounded by their own timeout only.

Change: a claim ends shortly before the process does, and the request is answered as not run by this submission. A response or a refusal does not wait for its record any longer then; the record is written in the background as far as there is time.

Why it works: the signal is the one that ends all attempts, early enough for the answer to be sent.

--- a/internal/proxy/front/keyed.go
+++ b/internal/proxy/front/keyed.go
@@ -32,6 +32,8 @@
 func (x *exchange) runKeyed(ctx context.Context) {
 	claimCtx, cancel := context.WithTimeout(ctx, keyTimeout)
 	defer cancel()
+	stop := context.AfterFunc(x.server.stopper.cut, cancel)
+	defer stop()
 	claim, err := x.server.config.Keys.Claim(claimCtx, keys.Key{
 		Service: x.match.Entry.Name,
 		Caller:  x.callerID(),
@@ -80,15 +82,13 @@
 	if x.claim == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.request.Context()), keyTimeout)
-	defer cancel()
 	a := keys.Answer{Status: int(r.head.Status), Body: r.held, BodyOmitted: x.committed}
 	if a.BodyOmitted {
 		a.Body = nil
 	} else {
 		a.Headers = wire.ToHeader(r.head.Headers)
 	}
-	_ = x.server.config.Keys.Finish(ctx, x.claim, a)
+	x.updateKey(func(ctx context.Context) { _ = x.server.config.Keys.Finish(ctx, x.claim, a) })
 }
 
 // releaseKey deletes the key's record of a request that was not run.
@@ -96,7 +96,19 @@
 	if x.claim == nil {
 		return
 	}
+	x.updateKey(func(ctx context.Context) { _ = x.server.config.Keys.Release(ctx, x.claim) })
+}
+
+// updateKey updates the key's record before the caller is answered. It does not wait for the store
+// when the process is about to end, since the answer would be lost with it.
+func (x *exchange) updateKey(update func(ctx context.Context)) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.request.Context()), keyTimeout)
-	defer cancel()
-	_ = x.server.config.Keys.Release(ctx, x.claim)
+	go func() {
+		defer cancel()
+		update(ctx)
+	}()
+	select {
+	case <-ctx.Done():
+	case <-x.server.stopper.cut.Done():
+	}
 }
