floor, node: floor tokens that the store has lost are not granted again

What operators saw: nothing yet; nodes together could have ejected a service's backend servers below its floor after the store had come back from an older copy. Fleets with StoreDiscovery have no floor ledger.

Cause: a token is valid for six hours from its grant in the floor ledger. A copy from before the grant shows it as free, and another node gets it.

Change: the Ledger records the era of the store in which it was written. One that was written in an earlier era, or is missing in a later era than the first, is unsettled: a node keeps the valid tokens that it has and gets no others until the lease and the margin have passed since it first read the Ledger. Until then it counts losses against the Ledgers from before too. A Ledger is created only in the era in which it was missing.

Evidence: TestRestoredLedgerGrantsNoTokenTwice fails without the change: 1 and 1 tokens at once, of one. The cases of TestFloorHolds are the same as before.

Why it works: tokens that were granted before the copy's loss end, or are renewed in the Ledger, before the first new one is granted. No node can know of a grant that only the store had.

--- a/internal/policy/floor/floor_test.go
+++ b/internal/policy/floor/floor_test.go
@@ -12,12 +12,16 @@
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/fake/check"
 	"github.com/figwick/figwick/internal/policy/floor"
+	"github.com/figwick/figwick/internal/state/store"
 )
 
 // reportTTL is how old a node's report about another's servers may be: the lease of a
 // directory's records.
 const reportTTL = 15 * time.Second
 
+// restorePercent is how likely the store is restored before a step.
+const restorePercent = 2
+
 var epoch = time.Unix(1_000_000, 0)
 
 // simulation runs several nodes' holders on one Ledger. An adversary controls the order and
@@ -31,6 +35,11 @@
 	version   int
 	nodes     []*simNode
 	storeDown bool
+	// restoresLeft is how often the store still comes back from an older copy. Its versions are
+	// then given out again, in another era.
+	restoresLeft int
+	era          store.Era
+	copies       []storeCopy
 	// ejections counts ejections, so that the test can check that there were enough.
 	ejections int
 	trace     []string
@@ -41,6 +50,12 @@
 	w.trace = append(w.trace, fmt.Sprintf("%s ", w.now.Sub(epoch))+fmt.Sprintf(format, args...))
 }
 
+// storeCopy is the Ledger and its version at an earlier time.
+type storeCopy struct {
+	ledger  floor.Ledger
+	version int
+}
+
 // simNode is one node: its holder, its servers and the reports it has about other nodes.
 type simNode struct {
 	holder  *floor.Holder
@@ -56,6 +71,7 @@
 type write struct {
 	ledger  floor.Ledger
 	version int
+	era     store.Era
 }
 
 // report is what one node knows about another's servers, and since when.
@@ -65,7 +81,7 @@
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	w := &simulation{t: t, choices: check.NewUniformRand(t), now: epoch}
+	w := &simulation{t: t, choices: check.NewUniformRand(t), now: epoch, era: 1}
 	nodes := w.choices.Between(2, 5)
 	total := 0
 	for i := range nodes {
@@ -126,6 +142,9 @@
 }
 
 func (w *simulation) step() {
+	if w.restoresLeft > 0 && w.choices.Chance(restorePercent) {
+		w.restoreStore()
+	}
 	n := w.randomNode()
 	switch w.choices.IntN(20) {
 	case 0, 1, 2, 3:
@@ -156,12 +175,14 @@
 		return
 	}
 	ledger := w.ledger.Clone()
+	ledger.NoteEra(w.era)
 	n.holder.PrepareWrite(w.now, w.floor, nil, &ledger)
-	n.write = &write{ledger: ledger, version: w.version}
+	n.write = &write{ledger: ledger, version: w.version, era: w.era}
 	w.logf("%s writes %+v over %d", n.id, ledger, w.version)
 }
 
-// deliver lets a write reach the store. Its reply may be lost.
+// deliver lets a write reach the store. Its reply may be lost, and is not usable if the store
+// has come back from an older copy since the Ledger was read.
 func (w *simulation) deliver(n *simNode) {
 	if n.write == nil {
 		return
@@ -170,6 +191,7 @@
 	n.write = nil
 	accepted := !w.storeDown && sent.version == w.version
 	if accepted {
+		w.copies = append(w.copies, storeCopy{ledger: w.ledger, version: w.version})
 		w.ledger = sent.ledger
 		w.version++
 	}
@@ -177,7 +199,7 @@
 	if n.dead {
 		return
 	}
-	if w.storeDown || w.choices.IntN(4) == 0 {
+	if w.storeDown || accepted && sent.era != w.era || w.choices.IntN(4) == 0 {
 		w.logf("%s: reply lost", n.id)
 		n.holder.ReplyLost()
 		return
@@ -268,6 +290,20 @@
 	}
 }
 
+// restoreStore lets the store come back from one of its latest copies.
+func (w *simulation) restoreStore() {
+	if len(w.copies) == 0 {
+		return
+	}
+	w.restoresLeft--
+	at := len(w.copies) - 1 - w.choices.IntN(min(len(w.copies), 5))
+	saved := w.copies[at]
+	w.copies = w.copies[:at]
+	w.ledger, w.version = saved.ledger, saved.version
+	w.era++
+	w.logf("the store is restored to version %d, %+v", w.version, w.ledger)
+}
+
 // crash ends a node. Its servers move to another node and are in service again.
 func (w *simulation) crash(n *simNode) {
 	to := w.randomNode()
@@ -322,10 +358,23 @@
 // TestFloorHolds checks that the floor holds while an adversary orders reads, writes, lost
 // replies, outages, crashes, leaps in time and stale views of several nodes.
 func TestFloorHolds(t *testing.T) {
+	assertFloorHolds(t, 0, 300)
+}
+
+// TestFloorHoldsAfterRestore guards against nodes that together eject below the floor after the
+// store has come back from an older copy: it has lost tokens that are still valid, and grants them
+// again.
+func TestFloorHoldsAfterRestore(t *testing.T) {
+	assertFloorHolds(t, 5, 3000)
+}
+
+func assertFloorHolds(t *testing.T, restores, maxSteps int) {
+	t.Helper()
 	ejections := 0
 	check.Run(t, func(t *rapid.T) {
 		w := newSimulation(t)
-		for range w.choices.Between(50, 300) {
+		w.restoresLeft = restores
+		for range w.choices.Between(50, maxSteps) {
 			w.step()
 		}
 		ejections += w.ejections
@@ -333,6 +382,44 @@
 	assert.Check(t, ejections > 100, "only %d ejections", ejections)
 }
 
+// TestRestoredLedgerGrantsNoTokenTwice guards against a token that is granted again because the
+// store has come back from a copy that lacks its first grant. It is granted again once the first
+// grant has ended.
+func TestRestoredLedgerGrantsNoTokenTwice(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	ledger := floor.Ledger{Era: 1}
+	first, second := &floor.Holder{Node: "a", Instance: 1}, &floor.Holder{Node: "b", Instance: 1}
+	first.SetBackends([]ident.Backend{"a1", "a2"})
+	second.SetBackends([]ident.Backend{"b1", "b2"})
+	least := 4
+	write := func(h *floor.Holder, era store.Era) {
+		ledger.NoteEra(era)
+		h.PrepareWrite(now, least, nil, &ledger)
+		h.WriteDone(true)
+	}
+	write(first, 1)
+	write(second, 1)
+	saved := ledger.Clone()
+	least = 3
+	write(first, 1)
+	assert.Equal(t, first.Tokens(now), 1)
+
+	ledger = saved
+	second.SetTokensNeeded(1)
+	for start := now; now.Before(start.Add(2 * floor.Lease)); now = now.Add(time.Minute) {
+		// The first node reaches the store again once its tokens have ended.
+		if first.Tokens(now) == 0 && first.WriteDue(now) {
+			write(first, 2)
+		}
+		if second.WriteDue(now) {
+			write(second, 2)
+		}
+		assert.Assert(t, first.Tokens(now)+second.Tokens(now) <= 1, "after %s: %d and %d tokens",
+			now.Sub(start), first.Tokens(now), second.Tokens(now))
+	}
+	assert.Equal(t, first.Tokens(now)+second.Tokens(now), 1, "the token is lost for good")
+}
+
 // TestTokensComeBack removes the node that holds all tokens. Another node gets them once the
 // dead node's entry has been unchanged for its lease.
 func TestTokensComeBack(t *testing.T) {
--- a/internal/policy/floor/holder.go
+++ b/internal/policy/floor/holder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/state/store"
 )
 
 const (
@@ -42,6 +43,11 @@
 		// grantLedgers are the Ledgers that the tokens may have been granted from: the one of
 		// the last accepted write, and those of later writes whose reply was lost.
 		grantLedgers []Ledger
+		// unsettledEra is the era of an unsettled Ledger, zero if the last one was settled, and
+		// unsettledSince when it was first read. earlierLedgers are the grantLedgers from before.
+		unsettledEra   store.Era
+		unsettledSince time.Time
+		earlierLedgers []Ledger
 	}
 
 	// pending is a write in flight.
@@ -120,8 +126,12 @@
 	for _, node := range dead {
 		ledger.ClearBackends(node)
 	}
+	h.settle(now, ledger)
 	h.round++
 	e := Entry{Node: h.Node, Instance: h.Instance, Backends: h.backends, Tokens: h.tokenGoal(), Renewals: h.round}
+	if ledger.Unsettled {
+		e.Tokens = min(e.Tokens, h.validTokens(now))
+	}
 	keep := min(len(h.spent), h.validTokens(now))
 	e = ledger.Set(e, keep)
 	h.pending = &pending{entry: e, sentAt: now, ledger: ledger.Clone()}
@@ -130,6 +140,22 @@
 	return e
 }
 
+// settle marks an unsettled Ledger as settled once the tokens that it may lack have ended. Until
+// then a node keeps the tokens that it has, and gets no others.
+func (h *Holder) settle(now time.Time, ledger *Ledger) {
+	if ledger.Unsettled && h.unsettledEra != ledger.Era {
+		h.unsettledEra, h.unsettledSince = ledger.Era, now
+		h.earlierLedgers = h.grantLedgers
+	}
+	if ledger.Unsettled && now.Sub(h.unsettledSince) >= Lease+Margin {
+		ledger.Unsettled = false
+	}
+	if !ledger.Unsettled {
+		h.unsettledEra = 0
+		h.earlierLedgers = nil
+	}
+}
+
 // WriteDone records whether the store accepted the write.
 func (h *Holder) WriteDone(accepted bool) {
 	p := h.pending
@@ -140,7 +166,7 @@
 	h.written = p.entry
 	h.synced = true
 	h.tokens = p.entry.Tokens
-	h.grantLedgers = []Ledger{p.ledger}
+	h.grantLedgers = append(slices.Clone(h.earlierLedgers), p.ledger)
 	h.expiresAt = p.sentAt.Add(Lease)
 	h.renewAt = p.sentAt.Add(renewInterval)
 	h.deniedWrites++
--- a/internal/policy/floor/ledger.go
+++ b/internal/policy/floor/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/state/store"
 )
 
 const (
@@ -35,9 +36,27 @@
 	Ledger struct {
 		Floor   int     `json:"floor"`
 		Entries []Entry `json:"entries"`
+		// Era is the era of the store in which the Ledger was last written.
+		Era store.Era `json:"era,omitempty"`
+		// Unsettled means that the store has come back from an older copy of the Ledger, and
+		// tokens that were granted since that copy may still be valid.
+		Unsettled bool `json:"unsettled,omitempty"`
 	}
 )
 
+// firstEra is the era of a store that has never come back from an older copy.
+const firstEra store.Era = 1
+
+// NoteEra records the era of the store in which the Ledger has just been read. It must be called
+// before Holder.PrepareWrite. An unknown era changes nothing.
+func (l *Ledger) NoteEra(era store.Era) {
+	if era == 0 || era == l.Era {
+		return
+	}
+	l.Unsettled = era > firstEra
+	l.Era = era
+}
+
 // FreeTokens returns how many tokens the Ledger can still grant. It is negative if backend
 // servers have gone since tokens were granted.
 func (l *Ledger) FreeTokens() int {
@@ -101,7 +120,8 @@
 
 // Clone returns a deep copy.
 func (l *Ledger) Clone() Ledger {
-	c := Ledger{Floor: l.Floor, Entries: slices.Clone(l.Entries)}
+	c := *l
+	c.Entries = slices.Clone(l.Entries)
 	for i := range c.Entries {
 		c.Entries[i].Backends = slices.Clone(c.Entries[i].Backends)
 	}
--- a/internal/proxy/node/ledgers.go
+++ b/internal/proxy/node/ledgers.go
@@ -50,13 +50,17 @@
 func (b *ledgers) update(ctx context.Context, name ident.Service) bool {
 	key := ledgerPrefix + string(name)
 	item, err := b.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
+		// The Ledger may be created only in the era in which it was missing.
+		item.Version = store.Version{Era: b.store.Era()}
+	} else if err != nil {
 		return false
 	}
 	var ledger floor.Ledger
 	if err == nil && json.Unmarshal(item.Value, &ledger) != nil {
 		ledger = floor.Ledger{}
 	}
+	ledger.NoteEra(item.Version.Era)
 	dead := b.node.fleet.dead()
 	known := false
 	b.node.side.WithController(func(t eval.Context, d *admit.Controller) { known = d.UpdateLedger(t.Now, name, dead, &ledger) })
