front: a stopping node compares the time left with the latency of routes without a target

What callers saw: on routes without a target latency, a request that arrived late in a planned stop was passed on, cut off and answered as unknown (502).

Services that are matched without a host's routes have none, so that nothing was ever refused for them.

Change: where there is no target, the service's average latency as the ingress sees it is taken.

Routes with a target are treated as before.

Why it works: another node can take the request while there is time; what the service usually needs is known from its responses.

--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -337,6 +337,7 @@
 	a.observeClock(load, now)
 	a.x.server.withService(a.x.match.Entry.Name, func(t eval.Context, svc *service) {
 		svc.picker.Answered(t, a.sidecar.Address, reportedLoad(load), now.Sub(a.sentAt))
+		svc.observeLatency(now.Sub(a.sentAt))
 		svc.setNested(a.x.match.Route, load.GetNested())
 		svc.survey.Observe(t.Now, a.sidecar.Address, health.ScaleToTarget(serviceTime, a.x.match.TargetLatency), failed)
 	})
--- a/internal/proxy/front/server.go
+++ b/internal/proxy/front/server.go
@@ -25,9 +25,13 @@
 	"github.com/figwick/figwick/internal/state/config"
 )
 
-// minFindInterval is the minimum time between two directory lookups of one
-// service that a request waits for.
-const minFindInterval = 50 * time.Millisecond
+const (
+	// minFindInterval is the minimum time between two directory lookups of one
+	// service that a request waits for.
+	minFindInterval = 50 * time.Millisecond
+	// latencySmoothing is the weight of one sample in service.latency.
+	latencySmoothing = 0.1
+)
 
 type (
 	// Opener opens streams to other nodes. Drop gives up the session to an
@@ -127,6 +131,8 @@
 		// nested holds the routes that backend servers call, as the service's sidecars
 		// report them.
 		nested map[string]bool
+		// latency is the moving average of the time in which attempts are answered.
+		latency time.Duration
 		// lastRequest is when the last request arrived.
 		lastRequest time.Time
 		// nextFind is the earliest time of the next directory lookup.
@@ -210,6 +216,15 @@
 	}
 }
 
+// observeLatency records the time in which an attempt was answered.
+func (svc *service) observeLatency(took time.Duration) {
+	if svc.latency == 0 {
+		svc.latency = took
+		return
+	}
+	svc.latency += time.Duration(latencySmoothing * float64(took-svc.latency))
+}
+
 // SetSidecars replaces the sidecars of a service.
 func (s *Server) SetSidecars(name ident.Service, sidecars []route.Sidecar) {
 	s.mutex.Lock()
--- a/internal/proxy/front/stop.go
+++ b/internal/proxy/front/stop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/figwick/figwick/internal/base/eval"
 )
 
 const (
@@ -16,10 +18,10 @@
 	// stopAnswerTime is how long before the process ends every request still in
 	// flight is answered.
 	stopAnswerTime = 150 * time.Millisecond
-	// drainTargets is how many target latencies must be left for a request that
-	// arrives while the node drains. It is more than the latency that most requests
+	// drainLatencies is how many times the expected latency must be left for a request
+	// that arrives while the node drains. It is more than the latency that most requests
 	// have, since its attempt would otherwise be cut off.
-	drainTargets = 2
+	drainLatencies = 2
 )
 
 // errStopping is the cause that cancels an attempt because this process ends.
@@ -68,9 +70,9 @@
 	if end == nil {
 		return false
 	}
-	needed := x.match.TargetLatency
+	needed := x.expectedLatency()
 	if x.server.draining.Load() {
-		needed *= drainTargets
+		needed *= drainLatencies
 	}
 	left := end.Add(-stopAnswerTime).Sub(x.arrived)
 	if left > needed {
@@ -83,6 +85,17 @@
 	return true
 }
 
+// expectedLatency returns the time in which most attempts are answered: the route's target
+// latency, or the service's average if the route has none.
+func (x *exchange) expectedLatency() time.Duration {
+	if x.match.TargetLatency > 0 {
+		return x.match.TargetLatency
+	}
+	var latency time.Duration
+	x.server.withService(x.match.Entry.Name, func(_ eval.Context, svc *service) { latency = svc.latency })
+	return latency
+}
+
 // answerBy returns the time by which the request must be answered: its deadline, or
 // earlier if the process ends before.
 func (x *exchange) answerBy() time.Time {
@@ -98,7 +111,7 @@
 // process ends that most requests are answered until then, or the request's deadline.
 func (x *exchange) startBy() time.Time {
 	if end := x.server.stopBy.Load(); end != nil {
-		if last := end.Add(-stopAnswerTime - x.match.TargetLatency); last.Before(x.deadline) {
+		if last := end.Add(-stopAnswerTime - x.expectedLatency()); last.Before(x.deadline) {
 			return last
 		}
 	}
