node: a departure is acknowledged although a write of the entry hangs

What callers saw: nothing yet. A backend server that left or began to drain while its node wrote its entry to a slow store, as after a restore, got its acknowledgement after up to three calls of a second each and its own write. It waits one second, and leaves some seconds later without one.

Cause: one mutex guarded the departures and was held during the store's calls. The wait of an acknowledgement was bounded for its own write only, not for the write that it waited for.

Change: the departures have a mutex that is not held during calls. The wait for another write of the entry counts toward announceTimeout. A departure that was added during a write stays marked as unsaved, and is written soon after.

Why it works: an acknowledgement waits no longer than it may for anything of the store.

--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -235,7 +235,7 @@
 	watched.onEra = append(watched.onEra, n.fleet.noteStoreEra)
 	n.front = n.newFront(watched)
 	n.sourceFollower = &sourceFollower{node: n, store: watched}
-	n.registration = &registration{node: n, store: watched, restored: make(chan struct{}), recheck: make(chan struct{}, 1)}
+	n.registration = newRegistration(n, watched)
 	n.configs = &configSync{node: n, store: watched}
 	watched.onRestore = append(watched.onRestore, n.configs.noteRestore)
 	n.ledgers = &ledgers{node: n, store: watched}
--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -64,11 +64,13 @@
 		// entriesRead reports that the other nodes' entries have been read at least once.
 		entriesRead bool
 		renewAt     time.Time
-		// writeMutex serializes writes of the entry and guards lease, version, departures
-		// and unsaved.
-		writeMutex sync.Mutex
-		lease      store.Lease
-		version    store.Version
+		// writing holds a value while the entry is being written, one write at a time, or
+		// while lease or version are used. A write may take as long as the store's calls.
+		writing chan struct{}
+		lease   store.Lease
+		version store.Version
+		// mutex guards departures and unsaved.
+		mutex sync.Mutex
 		// departures holds the departures of backend servers that this node has
 		// acknowledged, in this run or an earlier one.
 		departures []departure
@@ -97,6 +99,13 @@
 	}
 )
 
+func newRegistration(n *Node, watched *countedStore) *registration {
+	return &registration{
+		node: n, store: watched,
+		recheck: make(chan struct{}, 1), writing: make(chan struct{}, 1), restored: make(chan struct{}),
+	}
+}
+
 // run registers the node and renews its lease until the context ends. It leaves
 // the entry to expire.
 func (e *registration) run(ctx context.Context) error {
@@ -193,8 +202,10 @@
 		}
 		e.setLease(lease)
 	}
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
+	if err := e.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer e.endWrite()
 	err := e.replace(ctx)
 	if errors.Is(err, store.ErrLeaseLost) {
 		e.lease = store.Lease{}
@@ -203,7 +214,8 @@
 }
 
 // replace writes the entry over whatever is stored: nothing, this run's entry or that of an
-// earlier run, from which it restores the departures first. The writing mutex is held.
+// earlier run, from which it restores the departures first. It is called between beginWrite and
+// endWrite.
 func (e *registration) replace(ctx context.Context) error {
 	present, err := e.write(ctx)
 	if !errors.Is(err, store.ErrConflict) {
@@ -225,15 +237,29 @@
 	return err
 }
 
+// beginWrite waits until no write of the entry is under way, or the context ends.
+func (e *registration) beginWrite(ctx context.Context) error {
+	select {
+	case e.writing <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(context.Cause(ctx), "node: wait for another write of the entry")
+	}
+}
+
+func (e *registration) endWrite() {
+	<-e.writing
+}
+
 func (e *registration) currentLease() store.Lease {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
+	e.writing <- struct{}{}
+	defer e.endWrite()
 	return e.lease
 }
 
 func (e *registration) setLease(lease store.Lease) {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
+	e.writing <- struct{}{}
+	defer e.endWrite()
 	e.lease = lease
 }
 
@@ -242,11 +268,12 @@
 }
 
 // write stores the entry by compare-and-swap on the last known version. On a
-// conflict it returns the item that is stored. The writing mutex is held.
+// conflict it returns the item that is stored. It is called between beginWrite and endWrite.
 func (e *registration) write(ctx context.Context) (store.Item, error) {
 	self := e.node.fleet.self()
+	departures := e.currentDepartures()
 	text, err := json.Marshal(entryValue{
-		Address: self.Address, Zone: self.Zone, Instance: self.Instance, Incarnation: self.Incarnation, Departures: e.departures,
+		Address: self.Address, Zone: self.Zone, Instance: self.Instance, Incarnation: self.Incarnation, Departures: departures,
 	})
 	if err != nil {
 		return store.Item{}, errors.Wrap(err, "node: encode entry")
@@ -254,62 +281,114 @@
 	item, err := e.store.CAS(ctx, e.key(), text, e.version, e.lease)
 	if err == nil {
 		e.version = item.Version
-		e.unsaved = false
+		e.noteSaved(departures)
 	}
 	return item, err
 }
 
+func (e *registration) currentDepartures() []departure {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.departures)
+}
+
+// noteSaved records that the given departures are stored. Others may have been added since.
+func (e *registration) noteSaved(departures []departure) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.unsaved = !slices.Equal(departures, e.departures)
+}
+
+func (e *registration) hasUnsaved() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.unsaved
+}
+
+// addDeparture adds a departure and reports whether it is a new one.
+func (e *registration) addDeparture(d departure) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if slices.Contains(e.departures, d) {
+		return false
+	}
+	e.departures = append(e.departures, d)
+	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
+	e.unsaved = true
+	return true
+}
+
 // saveDepartures writes the entry again if the stored one may lack departures.
 func (e *registration) saveDepartures(ctx context.Context) error {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
-	if !e.unsaved {
+	if !e.hasUnsaved() {
 		return nil
 	}
+	if err := e.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer e.endWrite()
 	return e.replace(ctx)
 }
 
 // persistDeparture persists a departure in the node's entry before it is
 // acknowledged to the backend server. After a restart, the node then still rejects
-// stale announcements of that server. If the store is unreachable or the write
-// fails, the departure is kept in memory and written soon after.
+// stale announcements of that server. If the store is unreachable or the write does
+// not succeed within announceTimeout, the departure is kept in memory and written
+// soon after.
 func (e *registration) persistDeparture(d departure) {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
-	if slices.Contains(e.departures, d) {
+	if !e.addDeparture(d) {
 		return
 	}
-	e.departures = append(e.departures, d)
-	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
-	e.unsaved = true
-	if e.version.IsZero() || e.store.unreachable.Load() {
+	if e.store.unreachable.Load() {
 		e.recheckSoon()
 		return
 	}
 	ctx, done := context.WithTimeout(context.Background(), announceTimeout)
 	defer done()
-	if _, err := e.write(ctx); err != nil {
+	if err := e.writeRegistered(ctx); err != nil {
 		events.Emit(e.node.log, events.DepartureUnkept, "backend-server", string(d.Server), "error", err)
 		e.recheckSoon()
 	}
 }
 
+// writeRegistered writes the entry if it has been written before. Otherwise run writes it.
+func (e *registration) writeRegistered(ctx context.Context) error {
+	if err := e.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer e.endWrite()
+	if e.version.IsZero() {
+		e.recheckSoon()
+		return nil
+	}
+	_, err := e.write(ctx)
+	return err
+}
+
 // restoreFrom restores the departures from the entry of an earlier run. Those of this run are
-// known; a server among them may have been started anew since. The writing mutex is held.
+// known; a server among them may have been started anew since.
 func (e *registration) restoreFrom(present store.Item) {
 	var l entryValue
 	if err := json.Unmarshal(present.Value, &l); err != nil {
 		events.Emit(e.node.log, events.EntryBroken, "key", present.Key, "error", err)
 		return
 	}
-	older := slices.DeleteFunc(slices.Clone(l.Departures), func(d departure) bool { return slices.Contains(e.departures, d) })
-	e.departures = append(older, e.departures...)
-	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
+	older := e.addOlder(l.Departures)
 	if l.Instance != e.node.instance {
 		e.restoreDepartures(older)
 	}
 }
 
+// addOlder adds departures that are older than those known, and returns the new ones.
+func (e *registration) addOlder(stored []departure) []departure {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	older := slices.DeleteFunc(slices.Clone(stored), func(d departure) bool { return slices.Contains(e.departures, d) })
+	e.departures = slices.Concat(older, e.departures)
+	e.departures = e.departures[max(0, len(e.departures)-maxDepartures):]
+	return older
+}
+
 // restoreDepartures restores departures in the sidecar's controller and admits
 // announcements from now on.
 func (e *registration) restoreDepartures(left []departure) {
