front: a pause before the response does not cut it

What callers saw: nothing yet; a response to a request with a body broke off if the node paused for a tenth of a second, as a frozen VM does, at the moment when it began to send the response.

Cause: since the reading of a body ends with a read deadline that is removed right after. If the body has been read, net/http already reads ahead on the connection, and takes the deadline for the caller's going away: it cancels the request, and the rest of the response is cut.

Change: for a body that has been read to its end no deadline is set.

Why it works: there is nothing left to read for which a deadline is needed. What remains: a response that comes before the rest of a body that has arrived already; the rest is then read with the deadline.

--- a/internal/proxy/front/replay.go
+++ b/internal/proxy/front/replay.go
@@ -166,7 +166,7 @@
 // response begins. net/http would do the same without a limit, and would take bytes from
 // an attempt that still sends the body on.
 func (b *replayableBody) settle() {
-	if b.body == nil || b.answering.Swap(true) {
+	if b.body == nil || b.answering.Swap(true) || b.hasEnded() {
 		return
 	}
 	end := time.Now().Add(bodyRestTime)
@@ -179,6 +179,16 @@
 	_ = b.control.SetReadDeadline(time.Time{})
 }
 
+// hasEnded reports whether the whole body has been read. net/http then reads ahead, and takes a read
+// deadline that passes for the end of the connection. hasEnded does not wait for a read in progress.
+func (b *replayableBody) hasEnded() bool {
+	if !b.mutex.TryLock() {
+		return false
+	}
+	defer b.mutex.Unlock()
+	return b.ended
+}
+
 func (b *replayableBody) close() {
 	if b.body != nil {
 		_ = b.body.Close()
