figwick: a log whose reader has ended does not end a node

Cause: only figwickd ignored the signal.

Change: figwick's nodes ignore it. The other commands still end with their reader.

Evidence: TestClosedLogKeepsServing fails without the change: the node does not serve, "signal: broken pipe".

Why it works: a write to a broken pipe then fails, and only its line is lost.

--- a/cmd/figwick/node.go
+++ b/cmd/figwick/node.go
@@ -8,8 +8,10 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"os/signal"
 	"regexp"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -203,6 +205,8 @@
 	}
 	ctx, stop := proc.StopSignals(ctx, n.Abort)
 	defer stop()
+	// A log whose reader has ended must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	return n.Run(ctx)
 }
 
--- a/cmd/figwick/process_test.go
+++ b/cmd/figwick/process_test.go
@@ -220,3 +220,27 @@
 		assert.Equal(t, p.ProcessState.ExitCode(), c.code, "%v: %s", c.args, out)
 	}
 }
+
+// TestClosedLogKeepsServing guards against a node that ends because whatever reads its log has
+// ended.
+func TestClosedLogKeepsServing(t *testing.T) {
+	p := newProcess(t)
+	p.Cmd = figwick(t, "node", "--id", "n", "--zone", "z", "--callers-listen", p.callers, "--peers-listen", p.peers,
+		"--backends-listen", p.backends, "--admin-listen", p.admin, "--store-url", "http://127.0.0.1:1")
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	p.Stderr = writer
+	assert.NilError(t, reader.Close())
+	assert.NilError(t, p.Start())
+	assert.NilError(t, writer.Close())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Wait() }()
+	answered := false
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && !answered; time.Sleep(20 * time.Millisecond) {
+		status, _ := get(p.callers, http.MethodGet, "")
+		answered = status != 0
+	}
+	assert.Check(t, answered, "the node does not serve")
+	_ = p.Process.Signal(syscall.SIGTERM)
+	assert.NilError(t, <-ended)
+}
