--- a/internal/proxy/node/writeback_test.go
+++ b/internal/proxy/node/writeback_test.go
@@ -14,6 +14,7 @@
 	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/fake/kvs"
+	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/state/accept"
 	"github.com/figwick/figwick/internal/state/config"
 )
@@ -80,3 +81,35 @@
 		}
 	}
 }
+
+// TestApplyWaitsForTheFleetAfterRestore guards against two configurations with one revision: a node
+// accepts one before it has heard of a newer one that the store has lost.
+func TestApplyWaitsForTheFleetAfterRestore(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	kv := kvs.New(clock)
+	n := newIdle(t, "node-1", kv, clock)
+	_, _ = n.configs.store.Get(t.Context(), seedsKey)
+	kv.Restore(kv.Snapshot())
+	done := make(chan accept.Result, 1)
+	go func() {
+		result, err := n.Apply(context.Background(), shop(1))
+		assert.Check(t, err)
+		done <- result
+	}()
+	waiting, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	assert.Check(t, clock.BlockUntilContext(waiting, 1), "the apply does not wait")
+	n.fleet.receive(&wire.Gossip{From: "node-2", Revision: 5, StoreEra: uint64(kv.Era()), RevisionOnly: true, Nodes: []*wire.NodeRecord{
+		{Id: "node-2", Address: "127.0.0.2:1", Zone: "a", Instance: 1, Incarnation: 1, Beat: 1},
+	}})
+	for {
+		select {
+		case result := <-done:
+			assert.Equal(t, result.State, accept.Accepted)
+			assert.Equal(t, result.Revision, ident.Revision(6))
+			return
+		case <-time.After(time.Millisecond):
+			clock.Advance(50 * time.Millisecond)
+		}
+	}
+}
