--- a/internal/proxy/node/departures.go
+++ b/internal/proxy/node/departures.go
@@ -50,8 +50,10 @@
 // writeOnce writes the entry and reports whether it is stored. It does not try while the store is
 // unreachable or the node has no entry.
 func (e *registration) writeOnce(ctx context.Context) (bool, error) {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
+	if err := e.beginWrite(ctx); err != nil {
+		return false, err
+	}
+	defer e.endWrite()
 	if e.version.IsZero() || e.store.unreachable.Load() {
 		return false, nil
 	}
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -237,7 +237,7 @@
 	n.keys = keys.NewRegistry(keys.Config{Store: watched, Clock: c.Clock})
 	n.front = n.newFront()
 	n.sourceFollower = &sourceFollower{node: n, store: watched}
-	n.registration = &registration{node: n, store: watched, restored: make(chan struct{}), recheck: make(chan struct{}, 1)}
+	n.registration = newRegistration(n, watched)
 	n.configs = &configSync{node: n, store: watched}
 	watched.onRestore = append(watched.onRestore, n.configs.noteRestore)
 	n.ledgers = &ledgers{node: n, store: watched}
