node: a node that is behind reads the store in time

A node that does not get a newer configuration from its peers reads it from the store behindAfter (0.7 s) after it has learned of it. In truth it did so after 1.0 to 1.5 s, as it noted what it had learned only at its next check, every 0.5 s, and waited for whole checks. The news itself takes up to an exchange interval (1 s), and a configuration must be in force two seconds after its acknowledgement.

The time is now noted when the news arrives, and a node waits no longer than until it is behind.

--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -28,6 +28,9 @@
 	// newerConfig receives a value when another node has a newer configuration
 	// revision. It holds at most one.
 	newerConfig chan struct{}
+	// behindSince is when this node learned that another one has a newer configuration. It is
+	// zero while none has.
+	behindSince time.Time
 	// publishedSequence is the group's sequence number at the last update of the ingress.
 	publishedSequence uint64
 	// lastContact is when the last message from another node arrived.
@@ -183,7 +186,7 @@
 	changes := f.group.Changes()
 	f.publishSidecars()
 	restored := f.advanceStoreEra()
-	newer := f.group.NewestRevision().Revision > f.group.AppliedRevision()
+	newer := f.updateBehind()
 	f.mutex.Unlock()
 	f.logChanges(changes)
 	if newer {
@@ -211,6 +214,30 @@
 	return previous != 0 && f.storeEra != previous
 }
 
+// updateBehind updates behindSince and reports whether another node has a newer configuration.
+// The mutex is held.
+func (f *fleet) updateBehind() bool {
+	newer := f.group.NewestRevision().Revision > f.group.AppliedRevision()
+	switch {
+	case !newer:
+		f.behindSince = time.Time{}
+	case f.behindSince.IsZero():
+		f.behindSince = f.node.config.Clock.Now()
+	}
+	return newer
+}
+
+// behindFor returns for how long this node has known of a newer configuration, zero if it knows
+// of none.
+func (f *fleet) behindFor() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.behindSince.IsZero() {
+		return 0
+	}
+	return f.node.config.Clock.Since(f.behindSince)
+}
+
 // signalNewerConfig signals newerConfig without blocking.
 func (f *fleet) signalNewerConfig() {
 	select {
@@ -240,6 +267,7 @@
 func (f *fleet) setRevision(r ident.Revision) {
 	f.startExchanges(context.Background(), func(t eval.Context) []member.Exchange {
 		f.group.SetAppliedRevision(r)
+		f.updateBehind()
 		return f.group.SpreadRevision(t)
 	})
 }
--- a/internal/proxy/node/follower.go
+++ b/internal/proxy/node/follower.go
@@ -53,9 +53,6 @@
 	mutex sync.Mutex
 	// text is the active configuration.
 	text []byte
-	// behindSince is when the node first knew of a newer configuration than the
-	// active one. It is zero while there is none.
-	behindSince time.Time
 	// reread ends the call or pause of watch, which then reads the configuration.
 	reread context.CancelFunc
 	// duty is used by watch only.
@@ -72,7 +69,7 @@
 			version = store.Version{}
 		}
 		if !s.isPoller() {
-			s.pause(calls, pollerInterval)
+			s.pause(calls, min(pollerInterval, behindAfter-s.node.fleet.behindFor()))
 			continue
 		}
 		item, err := s.next(calls, version)
@@ -136,24 +133,8 @@
 	if age > unconfiguredAfter && s.node.revision() == 0 {
 		return true
 	}
-	behind := s.isBehind()
-	return s.duty.Watches(s.node.config.Clock.Now(), s.node.fleet.watchesStore(), s.store.unreachable.Load()) || behind
-}
-
-// isBehind reports whether the node has known of a newer configuration for longer
-// than behindAfter and does not have it yet.
-func (s *sourceFollower) isBehind() bool {
-	now := s.node.config.Clock.Now()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.node.fleet.newest().Revision <= s.node.revision() {
-		s.behindSince = time.Time{}
-		return false
-	}
-	if s.behindSince.IsZero() {
-		s.behindSince = now
-	}
-	return now.Sub(s.behindSince) > behindAfter
+	onDuty := s.duty.Watches(s.node.config.Clock.Now(), s.node.fleet.watchesStore(), s.store.unreachable.Load())
+	return onDuty || s.node.fleet.behindFor() >= behindAfter
 }
 
 func (s *sourceFollower) pause(ctx context.Context, wait time.Duration) {
--- a/internal/proxy/node/follower_test.go
+++ b/internal/proxy/node/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/figwick/figwick/internal/fake/kvs"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/state/config"
+	"github.com/figwick/figwick/internal/state/member"
 	"github.com/figwick/figwick/internal/state/store"
 )
 
@@ -97,3 +99,44 @@
 		return poll.Success()
 	}, poll.WithTimeout(time.Second))
 }
+
+// TestBehindNodeReadsStoreInTime guards against a configuration that is in force too late: the peer from which
+// the node learns of it does not give it, and the node turns to the store only after several of its own checks.
+// A configuration must be in force everywhere two seconds after its acknowledgement, and the news of it takes
+// up to an exchange interval.
+func TestBehindNodeReadsStoreInTime(t *testing.T) {
+	const applyTime = 2 * time.Second
+	clock := clockwork.NewFakeClock()
+	kv := kvs.New(clock)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	n, err := New(Config{
+		ID: "node-1", Zone: "a", Address: "127.0.0.1:1", Store: kv, Source: numberSource{}, StoreDiscovery: true,
+		Listeners: Listeners{Callers: listener, Peers: listener}, ExtraListeners: []ExtraListener{{}},
+		Clock: clock, Random: eval.NewRandom(1), Log: hclog.NewNullLogger(), Scope: tally.NoopScope,
+	})
+	assert.NilError(t, err)
+	_, err = kv.CAS(t.Context(), configKey, []byte("2"), store.Version{}, store.Lease{})
+	assert.NilError(t, err)
+	n.sourceFollower.adoptIfNewer([]byte("1"), "test")
+	for i := 2; n.fleet.watchesStore(); i++ {
+		peer := member.Record{ID: ident.Node(fmt.Sprintf("node-%d", i)), Zone: "a", Address: fmt.Sprintf("127.0.0.1:%d", i)}
+		n.fleet.addRecords([]member.Record{peer})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var loop sync.WaitGroup
+	loop.Go(func() { _ = n.sourceFollower.watch(ctx) })
+	defer loop.Wait()
+	defer cancel()
+	assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+
+	n.fleet.receive(&wire.Gossip{From: "node-2", Revision: 2, RevisionOnly: true})
+	const step = 50 * time.Millisecond
+	var waited time.Duration
+	for ; n.revision() != 2 && waited <= applyTime; waited += step {
+		clock.Advance(step)
+		assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+	}
+	assert.Check(t, waited <= applyTime-member.ExchangeInterval, "in force %s after the node learned of it", waited)
+}
