node, wire: large configurations travel compressed between nodes

Callers on its new routes get 404 meanwhile, and requests to a node that serves it wait behind it.

Cause: most machines have a link of 10 Mbit/s, on which one copy takes 0.3 s. The sessions carry attempts and pings too.

The text repeats its field names in each route, so gzip makes it many times smaller. A node compresses it once for each revision, when the first peer asks. The protocol version is now 2; peers of version 1 get the plain text.

--- a/internal/peer/link/remote.go
+++ b/internal/peer/link/remote.go
@@ -20,6 +20,8 @@
 		// Address is the address at which the node accepts sessions.
 		Address  string
 		Instance ident.Instance
+		// Version is the protocol version that the node speaks.
+		Version uint32
 	}
 
 	// PeerClock keeps a lower bound of a peer's monotonic clock. It is safe for
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -111,6 +111,7 @@
 		Zone:     ident.Zone(h.Zone),
 		Address:  h.Address,
 		Instance: ident.Instance(h.Instance),
+		Version:  h.Version,
 	}, nil
 }
 
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -43,7 +43,10 @@
 
 const (
 	// Version is the protocol version of this build.
-	Version = 1
+	Version = 2
+	// CompressedConfigVersion is the first version in which the head of a ConfigReply
+	// may be compressed.
+	CompressedConfigVersion = 2
 	// OldestVersion is the oldest protocol version accepted from a peer.
 	OldestVersion = 1
 	// MaxBodyFrameBytes is the maximum payload of one body frame, in bytes.
--- a/internal/proxy/node/follower.go
+++ b/internal/proxy/node/follower.go
@@ -51,8 +51,9 @@
 	node  *Node
 	store *countedStore
 	mutex sync.Mutex
-	// text is the active configuration.
-	text []byte
+	// text is the active configuration, compressed the same in gzip format. compressed is nil
+	// until a peer asks for it.
+	text, compressed []byte
 	// reread ends the call or pause of watch, which then reads the configuration.
 	reread context.CancelFunc
 	// duty is used by watch only.
@@ -176,7 +177,13 @@
 		s.node.fleet.forgetNewest(address)
 		return
 	}
-	s.adoptIfNewer(reply.Head, address)
+	text, err := decompressText(reply.Head)
+	if err != nil {
+		events.Emit(s.node.log, events.ConfigBroken, "source", address, "error", err)
+		s.node.fleet.forgetNewest(address)
+		return
+	}
+	s.adoptIfNewer(text, address)
 }
 
 // adoptIfNewer activates a configuration if it is newer than the active one. The source is
@@ -201,13 +208,27 @@
 		events.Emit(log, events.ConfigBroken, "source", source, "revision", uint64(revision), "error", err)
 		return
 	}
-	s.text = text
+	s.text, s.compressed = text, nil
 	s.node.configure(table)
 }
 
-// receive answers a peer that fetches this node's active configuration.
-func (s *sourceFollower) receive() *wire.ConfigReply {
+// receive answers a peer that fetches this node's active configuration. version is the
+// protocol version that the peer speaks.
+func (s *sourceFollower) receive(version uint32) *wire.ConfigReply {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return &wire.ConfigReply{Revision: uint64(s.node.revision()), Head: s.text}
+	reply := &wire.ConfigReply{Revision: uint64(s.node.revision()), Head: s.text}
+	if version < wire.CompressedConfigVersion || len(s.text) < minCompressedBytes {
+		return reply
+	}
+	if s.compressed == nil {
+		compressed, err := compressText(s.text)
+		if err != nil {
+			s.node.log.Warn("compressing the configuration failed", "error", err)
+			return reply
+		}
+		s.compressed = compressed
+	}
+	reply.Head = s.compressed
+	return reply
 }
--- a/internal/proxy/node/handle.go
+++ b/internal/proxy/node/handle.go
@@ -20,13 +20,13 @@
 // handle serves one stream from a peer. The kind of the first frame selects the
 // handler.
 func (n *Node) handle(ctx context.Context, peer link.Peer, conn *wire.Conn, first wire.Frame) {
-	err := n.dispatch(ctx, conn, first)
+	err := n.dispatch(ctx, peer, conn, first)
 	if errors.Is(err, wire.ErrFrame) {
 		events.Emit(n.log, events.PeerRefused, "peer", peer.Address, "error", err)
 	}
 }
 
-func (n *Node) dispatch(ctx context.Context, conn *wire.Conn, first wire.Frame) error {
+func (n *Node) dispatch(ctx context.Context, peer link.Peer, conn *wire.Conn, first wire.Frame) error {
 	switch first.Kind {
 	case wire.KindRequestHead:
 		n.busyAt.Store(n.config.Clock.Now().UnixNano())
@@ -52,7 +52,7 @@
 	case wire.KindConfigFetch:
 		return decodeAndHandle(first, first.Kind, func(m *wire.ConfigFetch) error {
 			if n.config.Source != nil {
-				return n.sendReply(conn, wire.KindConfigReply, n.sourceFollower.receive())
+				return n.sendReply(conn, wire.KindConfigReply, n.sourceFollower.receive(peer.Version))
 			}
 			return n.sendReply(conn, wire.KindConfigReply, n.configs.receive(m))
 		})
