--- a/internal/proxy/node/departures.go
+++ b/internal/proxy/node/departures.go
@@ -52,18 +52,22 @@
 // saved reports whether the stored entry has all departures. It doesn't wait for a write
 // that is under way.
 func (e *registration) saved() bool {
-	if !e.writeMutex.TryLock() {
+	select {
+	case e.writing <- struct{}{}:
+		defer e.endWrite()
+		return !e.unsaved.Load()
+	default:
 		return false
 	}
-	defer e.writeMutex.Unlock()
-	return !e.unsaved.Load()
 }
 
 // writeOnce writes the entry and reports whether it is stored. It does not try while the store is
 // unreachable or the node has no entry.
 func (e *registration) writeOnce(ctx context.Context) (bool, error) {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
+	if err := e.beginWrite(ctx); err != nil {
+		return false, err
+	}
+	defer e.endWrite()
 	if e.version.IsZero() || e.store.unreachable.Load() {
 		return false, nil
 	}
