member: records with departures do not take more than the budget for records

What callers saw: nodes that end.

Cause: counts a record with its departures by its size, while the number of records of a message follows from the size of one without. So the budget falls below zero, and the next message takes a negative number of records.

Change: a budget below zero allows no records until it is refilled.

Evidence: TestDeparturesKeepWithinBudget panics without the change.

--- a/internal/state/member/departure_test.go
+++ b/internal/state/member/departure_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,3 +87,24 @@
 		}
 	})
 }
+
+// TestDeparturesKeepWithinBudget guards against nodes that end because records with departures
+// have taken more than the budget for records.
+func TestDeparturesKeepWithinBudget(t *testing.T) {
+	g := member.New(member.Config{Self: member.Record{ID: "node-0", Address: "a-0", Zone: "a"}})
+	var records []member.Record
+	for i := 1; i <= 500; i++ {
+		r := member.Record{ID: ident.Node(fmt.Sprintf("node-%d", i)), Address: fmt.Sprintf("a-%d", i), Zone: "a", Incarnation: 1}
+		for k := range 4 {
+			r.Departures = append(r.Departures, member.Departure{Server: ident.Backend(fmt.Sprintf("i-%d-%d", i, k)), Incarnation: 1, At: 1})
+		}
+		records = append(records, r)
+	}
+	now := time.Unix(1, 0)
+	g.MergeRecords(now, records)
+	for range 4 {
+		for _, x := range g.ExchangeAll(eval.Context{Now: now, Random: eval.NewRandom(1)}) {
+			g.Failed(eval.Context{Now: now, Random: eval.NewRandom(1)}, x.To)
+		}
+	}
+}
--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -497,7 +497,8 @@
 	}
 	p.nothingToSend = len(unsent) == 0
 	slices.SortFunc(unsent, func(a, b *entry) int { return cmp.Compare(a.changeSeq, b.changeSeq) })
-	limit := min(maxMessageRecords, int(g.budgetBytes/recordBytes))
+	// Records with departures may take more than the budget.
+	limit := max(0, min(maxMessageRecords, int(g.budgetBytes/recordBytes)))
 	if len(unsent) <= limit {
 		p.sentSeq = g.sequence
 	}
