node: a stop sends the answers that are due before it ends

Cause: all requests are answered 0.15 s before the drain timeout, but the process ended at the timeout whether or not the answers had been sent. With little processor time they are late, although half a second of the platform's grace time follows.

Change: after the drain timeout the node waits until the callers' connections have their answers, for up to 0.25 s.

Evidence: TestStopSendsLateAnswers, in which each write to the caller takes 0.3 s, fails without the change in three of three runs ("unexpected EOF") and passes with it in three of three under the race detector.

Why it works: a connection counts as open until its response has been written, also after the handler has returned. A stop that ended before its time limit finds none open and does not wait.

--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -143,11 +143,11 @@
 }
 
 // stop hands the backend servers over to other nodes, drains and leaves the fleet.
-// It returns when nothing is in flight, or after DrainTimeout. It logs the requests
-// and attempts that are cut off then.
-func (n *Node) stop(ctx context.Context) {
+// It returns when nothing is in flight, or after DrainTimeout, when all requests are being
+// answered. It logs the requests and attempts that are cut off then.
+func (n *Node) stop(work context.Context) {
 	events.Emit(n.log, events.NodeLeaving, "node", string(n.config.ID))
-	ctx, done := context.WithTimeout(ctx, n.config.DrainTimeout)
+	ctx, done := context.WithTimeout(work, n.config.DrainTimeout)
 	defer done()
 	end := n.config.Clock.Now().Add(n.config.DrainTimeout)
 	n.front.StopBy(ctx, end)
@@ -184,6 +184,7 @@
 	// Requests may have come until now on connections that were still open. Each of these
 	// closes when its response has been sent.
 	n.waitUntil(ctx, func() bool { return n.callerConns.CloseIdle() == 0 && n.idle() })
+	n.awaitAnswers(work)
 	_ = n.callers.Shutdown(ctx)
 	if !n.idle() {
 		n.reportCut()
@@ -215,6 +216,15 @@
 	})
 }
 
+// awaitAnswers waits until the answers that end the requests in flight at the end of a stop
+// have been sent, for up to lateAnswerTime. A process that gets little processor time is
+// late with them.
+func (n *Node) awaitAnswers(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, lateAnswerTime)
+	defer done()
+	n.waitUntil(ctx, func() bool { return n.callerConns.CloseIdle() == 0 && n.front.InFlight() == 0 })
+}
+
 // handOver waits until the backend servers have announced themselves to other
 // nodes, for up to handOverTimeout. The response to their next renewal asks them to.
 func (n *Node) handOver(ctx context.Context) {
@@ -264,6 +274,8 @@
 	// lastAcceptTime is how long before the end of a graceful stop the node accepts
 	// its last requests.
 	lastAcceptTime = time.Second
+	// lateAnswerTime is how long a stop lasts beyond DrainTimeout while answers are sent.
+	lateAnswerTime = 250 * time.Millisecond
 )
 
 // waitUntil polls a condition until it is true or the context ends.
