keys: a claim is written again once a refused submission has released its key

What callers see: a request with an idempotency key runs twice after a restore of the store, if a third submission comes. Of the claim that the store had lost, the write-back found the key taken and gave up; but it was taken by a submission that was refused because of the restore, and was released a moment later.

TestWriteBackWaitsForRelease fails on the code before (the write-back gave up).

--- a/internal/state/keys/held.go
+++ b/internal/state/keys/held.go
@@ -50,8 +50,8 @@
 	r.held.settledAt = r.config.Clock.Now().Add(settleTime)
 }
 
-// WriteBack writes the held claims that the store has lost. It returns the first error; the others
-// are written nevertheless.
+// WriteBack writes the held claims that the store has lost. It returns an error if not all have been
+// written; the caller then calls it again.
 func (r *Registry) WriteBack(ctx context.Context) error {
 	var failure error
 	for _, c := range r.held.all(r.config.Clock.Now()) {
@@ -69,8 +69,8 @@
 		return nil
 	}
 	err := r.rewrite(ctx, c)
-	if errors.Is(err, store.ErrConflict) {
-		// Another submission has the key.
+	if errors.Is(err, store.ErrConflict) && !r.held.settling(r.config.Clock.Now()) {
+		// Another submission has the key. Until then it may be one that is released again.
 		return nil
 	}
 	return err
--- a/internal/state/keys/keys_test.go
+++ b/internal/state/keys/keys_test.go
@@ -118,6 +118,28 @@
 	}
 }
 
+// TestWriteBackWaitsForRelease guards against a request that runs twice: while a claim is written again
+// after a restore, its key belongs to a submission that is refused because of the restore and released.
+func TestWriteBackWaitsForRelease(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := kvs.New(clock)
+	a := keys.NewRegistry(keys.Config{Store: s, Clock: clock})
+	b := keys.NewRegistry(keys.Config{Store: s, Clock: clock})
+	saved := s.Snapshot()
+	_, err := a.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	s.Restore(saved)
+	refused, err := b.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	a.Settle()
+	assert.ErrorIs(t, a.WriteBack(t.Context()), store.ErrConflict)
+	assert.NilError(t, b.Release(t.Context(), refused))
+	assert.NilError(t, a.WriteBack(t.Context()))
+	other, err := b.Claim(t.Context(), key)
+	assert.NilError(t, err)
+	assert.Equal(t, other.State, keys.Pending)
+}
+
 // TestReleasedClaimIsNotWrittenBack guards against a key that stays taken although its request was not
 // run, and against claims that are held for ever.
 func TestReleasedClaimIsNotWrittenBack(t *testing.T) {
