member: a seed's answer has its own record for a node that does not know it

What callers see: a node that restarts while the store is away stays alone for seconds longer, with the configuration and the departures that only its peers have.

Cause: a node takes the records in its answer for received. If the first answer to a node that has restarted is lost, later answers leave out the seed's own record, and the node goes on not knowing the seed. The comparison of digests does not help, as such a node sends its own record in each message. It waited for a node that watches it.

Now a message to a seed that is not known says so, as an answer to an unknown node does, and the answer has the seed's record.

TestSeedIsKnownAfterLostAnswer plays the lost answers; it fails on the code before.

--- a/internal/state/member/departure_test.go
+++ b/internal/state/member/departure_test.go
@@ -86,3 +86,25 @@
 		}
 	})
 }
+
+// TestSeedIsKnownAfterLostAnswer guards against a node that restarts while the store is away and does not
+// get to know the fleet: the seed's first answer to it was lost, and later ones left the seed's record
+// out. The seed does not reach the node by itself.
+func TestSeedIsKnownAfterLostAnswer(t *testing.T) {
+	f := newFleet(6, 2, eval.NewRandom(1))
+	requireAgreement(t, f, time.Minute)
+	f.add(5, 2, 2)
+	answers := 0
+	f.loses = func(from, to int) bool {
+		if from != 5 && to == 5 {
+			answers++
+		}
+		return from != 5 && to == 5 && answers <= 2
+	}
+	for range 20 {
+		f.now = f.now.Add(step)
+		f.deliver(5, f.groups[5].Tick(f.turn()))
+	}
+	assert.Check(t, answers > 2, "%d answers", answers)
+	assert.Check(t, len(f.groups[5].Live()) > 1, "the node knows no other")
+}
--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -79,7 +79,8 @@
 		// the sender knows.
 		Records []Record
 		// RecipientUnknown is set in an answer to a node that the sender did not
-		// know or took for dead. That node then sends its own record again.
+		// know or took for dead, and in a message to a seed that it does not know.
+		// That node then sends its own record again.
 		RecipientUnknown bool
 	}
 
@@ -265,6 +266,7 @@
 	}
 	p := g.peer(m.From)
 	p.failures = 0
+	p.includeSelf = m.RecipientUnknown
 	answer := g.message(p, m.From)
 	g.returnDepartures(m, &answer)
 	p.ackedSeq = p.sentSeq
--- a/internal/state/member/merge.go
+++ b/internal/state/member/merge.go
@@ -289,7 +289,9 @@
 		address := g.seeds[g.nextSeed%len(g.seeds)]
 		g.nextSeed++
 		if !g.hasLiveAddress(address) {
-			exchanges = append(exchanges, Exchange{Address: address, Message: g.message(&peer{}, "")})
+			m := g.message(&peer{}, "")
+			m.RecipientUnknown = true
+			exchanges = append(exchanges, Exchange{Address: address, Message: m})
 			interval = ExchangeInterval
 		}
 	}
