--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -56,10 +56,11 @@
 		// entriesRead reports that the other nodes' entries have been read at least once.
 		entriesRead bool
 		renewAt     time.Time
-		// writeMutex serializes writes of the entry and guards lease and version.
-		writeMutex sync.Mutex
-		lease      store.Lease
-		version    store.Version
+		// writing holds a value while the entry is being written, one write at a time, or
+		// while lease or version are used. A write may take as long as the store's calls.
+		writing chan struct{}
+		lease   store.Lease
+		version store.Version
 		// unsaved reports that the stored entry may lack some of the departures of the
 		// node's record.
 		unsaved atomic.Bool
@@ -79,6 +80,13 @@
 	}
 )
 
+func newRegistration(n *Node, watched *countedStore) *registration {
+	return &registration{
+		node: n, store: watched,
+		recheck: make(chan struct{}, 1), writing: make(chan struct{}, 1), restored: make(chan struct{}),
+	}
+}
+
 // run registers the node and renews its lease until the context ends. It leaves
 // the entry to expire.
 func (e *registration) run(ctx context.Context) error {
@@ -180,8 +188,10 @@
 		}
 		e.setLease(lease)
 	}
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
+	if err := e.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer e.endWrite()
 	err := e.replace(ctx)
 	if errors.Is(err, store.ErrLeaseLost) {
 		e.lease = store.Lease{}
@@ -190,7 +200,8 @@
 }
 
 // replace writes the entry over whatever is stored: nothing, this run's entry or that of an
-// earlier run, from which it restores the departures first. The writing mutex is held.
+// earlier run, from which it restores the departures first. It is called between beginWrite and
+// endWrite.
 func (e *registration) replace(ctx context.Context) error {
 	present, err := e.write(ctx)
 	if !errors.Is(err, store.ErrConflict) {
@@ -212,15 +223,29 @@
 	return err
 }
 
+// beginWrite waits until no write of the entry is under way, or the context ends.
+func (e *registration) beginWrite(ctx context.Context) error {
+	select {
+	case e.writing <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(context.Cause(ctx), "node: wait for another write of the entry")
+	}
+}
+
+func (e *registration) endWrite() {
+	<-e.writing
+}
+
 func (e *registration) currentLease() store.Lease {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
+	e.writing <- struct{}{}
+	defer e.endWrite()
 	return e.lease
 }
 
 func (e *registration) setLease(lease store.Lease) {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
+	e.writing <- struct{}{}
+	defer e.endWrite()
 	e.lease = lease
 }
 
@@ -229,7 +254,7 @@
 }
 
 // write stores the entry by compare-and-swap on the last known version. On a
-// conflict it returns the item that is stored. The writing mutex is held.
+// conflict it returns the item that is stored. It is called between beginWrite and endWrite.
 func (e *registration) write(ctx context.Context) (store.Item, error) {
 	e.unsaved.Store(false)
 	self := e.node.fleet.self()
@@ -250,16 +275,18 @@
 
 // saveDepartures writes the entry again if the stored one may lack departures.
 func (e *registration) saveDepartures(ctx context.Context) error {
-	e.writeMutex.Lock()
-	defer e.writeMutex.Unlock()
 	if !e.unsaved.Load() {
 		return nil
 	}
+	if err := e.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer e.endWrite()
 	return e.replace(ctx)
 }
 
 // restoreFrom restores the departures from the entry of an earlier run. Those of this run are
-// known; a server among them may have been started anew since. The writing mutex is held.
+// known; a server among them may have been started anew since.
 func (e *registration) restoreFrom(present store.Item) {
 	var l entryValue
 	if err := json.Unmarshal(present.Value, &l); err != nil {
