member: records with departures keep within the budget

Cause: since departures are part of the records, a record may be longer than the length from which the number of records of a message was computed. A message that used up the budget left it below zero, and the next one was cut at a negative length: "slice bounds out of range [:-1]". In small fleets no node comes near its budget.

Now each record is sent only if the budget has room for it.

TestDeparturesStayWithinBudget fails on the code before with the same panic.

--- a/internal/state/member/departure_test.go
+++ b/internal/state/member/departure_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -108,3 +109,33 @@
 	assert.Check(t, answers > 2, "%d answers", answers)
 	assert.Check(t, len(f.groups[5].Live()) > 1, "the node knows no other")
 }
+
+// TestDeparturesStayWithinBudget guards against a node that ends itself or sends more than its budget
+// when departures make the records of a large fleet longer than others are.
+func TestDeparturesStayWithinBudget(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	records := make([]member.Record, 3000)
+	for i := range records {
+		records[i] = member.Record{
+			ID: ident.Node(fmt.Sprintf("node-%d", i)), Address: fmt.Sprintf("10.1.%d.%d:1", i/250, i%250), Zone: "a", Incarnation: 1,
+			Departures: []member.Departure{{Server: "i-0123456789", Incarnation: 1, At: 1}, {Server: "i-0123456789", Incarnation: 2, At: 2}},
+		}
+	}
+	g := member.New(member.Config{Self: member.Record{ID: "self", Address: "10.0.0.1:1", Zone: "a", Incarnation: 1}})
+	g.MergeRecords(now, records)
+	sent := 0
+	for range 40 {
+		now = now.Add(time.Second)
+		for _, r := range records[:50] {
+			answer := g.Receive(eval.Context{Now: now, Random: eval.NewRandom(1)}, member.Message{From: r.ID, Records: []member.Record{r}})
+			for _, r := range answer.Records {
+				sent += recordBytes
+				for _, d := range r.Departures {
+					sent += len(d.Server) + 20
+				}
+			}
+		}
+	}
+	// At first the saved budget is sent, then what comes in.
+	assert.Check(t, sent > 500<<10 && sent <= 512<<10+40*member.BudgetBytesPerSecond, "%d bytes", sent)
+}
--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -499,15 +499,15 @@
 	}
 	p.nothingToSend = len(unsent) == 0
 	slices.SortFunc(unsent, func(a, b *entry) int { return cmp.Compare(a.changeSeq, b.changeSeq) })
-	limit := min(maxMessageRecords, int(g.budgetBytes/recordBytes))
-	if len(unsent) <= limit {
-		p.sentSeq = g.sequence
-	}
-	for _, e := range unsent[:min(len(unsent), limit)] {
+	for i, e := range unsent {
+		if i == maxMessageRecords || g.budgetBytes < e.wireBytes() {
+			return m
+		}
 		m.Records = append(m.Records, e.Record)
 		p.sentSeq = max(p.sentSeq, e.changeSeq)
 		g.budgetBytes -= e.wireBytes()
 	}
+	p.sentSeq = g.sequence
 	return m
 }
 
