events, node: a stopping node logs when it accepts no more attempts

Between node-leaving (102) and node-stopped (103) a node first works on, then refuses what comes for its backend server, and ends when its own callers' requests are answered. The log did not show when the second part begins, so that a server which gets nothing because its node drains could not be told from one that others avoid. node-draining (110) marks that moment, with the number of callers' requests and of attempts in flight.

--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -36,6 +36,7 @@
 	SettingsRead     = Event{107, "settings-read", hclog.Info, "The settings have changed; those that can change in a running node are in force."}
 	SettingsBroken   = Event{108, "settings-broken", hclog.Error, "The changed settings could not be read; the old ones stay in force."}
 	LinesDropped     = Event{109, "log-lines-dropped", hclog.Warn, "Log lines were dropped, because there were too many or their reader was too slow."}
+	NodeDraining     = Event{110, "node-draining", hclog.Info, "A stopping node accepts no more attempts for its backend servers; those in flight end."}
 	ConfigAdopted    = Event{201, "config-adopted", hclog.Info, "A newer configuration revision is in force at this node."}
 	ConfigAccepted   = Event{202, "config-accepted", hclog.Info, "A configuration file applied at this node was accepted."}
 	ConfigRefused    = Event{203, "config-refused", hclog.Warn, "A configuration file applied at this node was not accepted."}
@@ -73,7 +74,7 @@
 // All returns the catalogue in the order of its numbers.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked, SettingsRead, SettingsBroken, LinesDropped,
+		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked, SettingsRead, SettingsBroken, LinesDropped, NodeDraining,
 		ConfigAdopted, ConfigAccepted, ConfigRefused, ConfigOld, ConfigBroken, ConfigUnfetched, ConfigUnwritten,
 		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused, AttemptFailed,
 		OutcomeUnknown, AnswerRecovered, AnswerCut, RequestRefused, FailurePassed,
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -157,10 +157,13 @@
 	}
 	n.state.Store(phaseDraining)
 	n.front.Drain()
+	active := 0
 	n.side.Do(func(_ eval.Context, d *admit.Controller) admit.Ops {
 		d.Drain()
+		active = d.ActiveAttempts()
 		return admit.Ops{}
 	})
+	events.Emit(n.log, events.NodeDraining, "requests", n.front.InFlight(), "attempts", active)
 	if n.config.StoreDiscovery {
 		n.awaitLocalAttempts(ctx, end.Add(-lastAcceptTime))
 	} else {
