--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -28,6 +28,9 @@
 	// newerConfig receives a value when another node has a newer configuration
 	// revision. It holds at most one.
 	newerConfig chan struct{}
+	// behindSince is when this node learned that another one has a newer configuration. It is
+	// zero while none has.
+	behindSince time.Time
 	// publishedSequence is the group's sequence number at the last update of the ingress.
 	publishedSequence uint64
 	// lastContact is when the last message from another node arrived.
@@ -146,8 +149,8 @@
 }
 
 // exchange sends a gossip message and passes the reply, or the failure, to the
-// group.
-func (f *fleet) exchange(ctx context.Context, e member.Exchange) {
+// group. It reports whether there was a reply.
+func (f *fleet) exchange(ctx context.Context, e member.Exchange) bool {
 	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
 	defer done()
 	reply, err := call[wire.Gossip](ctx, f.node, e.Address, wire.KindGossip, toGossip(e.Message), wire.KindGossip)
@@ -159,6 +162,7 @@
 		f.group.Reply(f.node.turn(), e.To, fromGossip(reply))
 	}
 	f.unlockAndReport()
+	return err == nil
 }
 
 // receive handles another node's gossip message and returns the reply.
@@ -183,15 +187,21 @@
 	changes := f.group.Changes()
 	f.publishSidecars()
 	restored := f.advanceStoreEra()
-	newer := f.group.NewestRevision().Revision > f.group.AppliedRevision()
+	newer := f.updateBehind()
+	learned := f.group.LearnedDepartures()
 	f.mutex.Unlock()
 	f.logChanges(changes)
+	if len(learned) > 0 {
+		f.node.registration.learnDepartures(learned)
+	}
 	if newer {
 		f.signalNewerConfig()
 	}
 	if restored {
 		f.node.registration.recheckSoon()
 		f.node.sourceFollower.rereadSoon()
+		f.node.ledgers.noteRestore()
+		f.node.keepClaims()
 		f.startExchanges(context.Background(), f.group.SpreadRevision)
 	}
 }
@@ -211,6 +221,30 @@
 	return previous != 0 && f.storeEra != previous
 }
 
+// updateBehind updates behindSince and reports whether another node has a newer configuration.
+// The mutex is held.
+func (f *fleet) updateBehind() bool {
+	newer := f.group.NewestRevision().Revision > f.group.AppliedRevision()
+	switch {
+	case !newer:
+		f.behindSince = time.Time{}
+	case f.behindSince.IsZero():
+		f.behindSince = f.node.config.Clock.Now()
+	}
+	return newer
+}
+
+// behindFor returns for how long this node has known of a newer configuration, zero if it knows
+// of none.
+func (f *fleet) behindFor() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.behindSince.IsZero() {
+		return 0
+	}
+	return f.node.config.Clock.Since(f.behindSince)
+}
+
 // signalNewerConfig signals newerConfig without blocking.
 func (f *fleet) signalNewerConfig() {
 	select {
@@ -240,6 +274,7 @@
 func (f *fleet) setRevision(r ident.Revision) {
 	f.startExchanges(context.Background(), func(t eval.Context) []member.Exchange {
 		f.group.SetAppliedRevision(r)
+		f.updateBehind()
 		return f.group.SpreadRevision(t)
 	})
 }
@@ -381,6 +416,11 @@
 	for _, id := range r.Accusers {
 		w.Accusers = append(w.Accusers, string(id))
 	}
+	for _, d := range r.Departures {
+		w.Departures = append(w.Departures, &wire.Departure{
+			BackendServer: string(d.Server), Incarnation: uint64(d.Incarnation), At: d.At,
+		})
+	}
 	return w
 }
 
@@ -417,5 +457,10 @@
 	for _, id := range w.Accusers {
 		r.Accusers = append(r.Accusers, ident.Node(id))
 	}
+	for _, d := range w.Departures {
+		r.Departures = append(r.Departures, member.Departure{
+			Server: ident.Backend(d.BackendServer), Incarnation: ident.Incarnation(d.Incarnation), At: d.At,
+		})
+	}
 	return r
 }
