--- a/internal/proxy/node/departures.go
+++ b/internal/proxy/node/departures.go
@@ -25,7 +25,8 @@
 // persistDeparture persists a departure in the node's entry and at its neighbours before it
 // is acknowledged to the backend server. After a restart, the node then still rejects stale
 // announcements of that server, also if the store has come back from an older copy or is
-// away. If the write fails, the departure is written soon after.
+// away. If the write fails or the entry must be written anew first, it waits for that while
+// the store is reachable.
 func (e *registration) persistDeparture(server ident.Backend, incarnation ident.Incarnation) {
 	ctx, done := context.WithTimeout(context.Background(), announceTimeout)
 	defer done()
@@ -42,11 +43,24 @@
 		events.Emit(e.node.log, events.DepartureUnkept, "backend-server", string(server), "error", err)
 	}
 	if !stored {
-		e.recheckSoon()
+		e.saveSoon()
+		e.node.waitUntil(ctx, func() bool { return e.saved() || e.store.unreachable.Load() })
 	}
 	<-spread
 }
 
+// saved reports whether the stored entry has all departures. It doesn't wait for a write
+// that is under way.
+func (e *registration) saved() bool {
+	select {
+	case e.writing <- struct{}{}:
+	default:
+		return false
+	}
+	defer e.endWrite()
+	return !e.unsaved.Load()
+}
+
 // writeOnce writes the entry and reports whether it is stored. It does not try while the store is
 // unreachable or the node has no entry.
 func (e *registration) writeOnce(ctx context.Context) (bool, error) {
--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -51,6 +51,9 @@
 		// recheck receives a value when the entry may have been lost with the store's
 		// latest data. It holds at most one.
 		recheck chan struct{}
+		// save receives a value when departures are to be stored at once. It holds at most
+		// one.
+		save chan struct{}
 		// registered reports that the entry is in the store under the lease.
 		registered bool
 		// entriesRead reports that the other nodes' entries have been read at least once.
@@ -83,7 +86,8 @@
 func newRegistration(n *Node, watched *countedStore) *registration {
 	return &registration{
 		node: n, store: watched,
-		recheck: make(chan struct{}, 1), writing: make(chan struct{}, 1), restored: make(chan struct{}),
+		recheck: make(chan struct{}, 1), save: make(chan struct{}, 1), writing: make(chan struct{}, 1),
+		restored: make(chan struct{}),
 	}
 }
 
@@ -96,6 +100,8 @@
 		case <-e.node.config.Clock.After(wait):
 		case <-e.recheck:
 			e.spreadRecheck(ctx)
+		case <-e.save:
+			e.renewAt = time.Time{}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -111,12 +117,21 @@
 	}
 }
 
+// saveSoon makes run store the departures at once. It doesn't block.
+func (e *registration) saveSoon() {
+	select {
+	case e.save <- struct{}{}:
+	default:
+	}
+}
+
 // spreadRecheck waits for a random part of the time over which the nodes check their entries,
-// and makes the renewal due.
+// unless departures are to be stored, and makes the renewal due.
 func (e *registration) spreadRecheck(ctx context.Context) {
 	spread := max(minRecheckSpread, time.Duration(len(e.node.fleet.live()))*recheckSpread)
 	select {
 	case <-e.node.config.Clock.After(time.Duration(e.node.config.Random.Float64() * float64(spread))):
+	case <-e.save:
 	case <-ctx.Done():
 	}
 	e.renewAt = time.Time{}
