--- a/internal/policy/floor/floor_test.go
+++ b/internal/policy/floor/floor_test.go
@@ -12,6 +12,7 @@
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/fake/check"
 	"github.com/figwick/figwick/internal/policy/floor"
+	"github.com/figwick/figwick/internal/state/store"
 )
 
 // reportTTL is how old a node's report about another's servers may be: the lease of a
@@ -37,6 +38,11 @@
 	// saved is a copy of the Ledger from which the store may come back. It is nil in tests
 	// without restores.
 	saved *floor.Ledger
+	// restoresLeft is how often the store still comes back from one of the copies without any
+	// node being told. Its versions are then given out again, in another era.
+	restoresLeft int
+	era          store.Era
+	copies       []storeCopy
 }
 
 // logf adds to the trace that is printed if the floor is violated.
@@ -59,6 +65,7 @@
 type write struct {
 	ledger  floor.Ledger
 	version int
+	era     store.Era
 }
 
 // report is what one node knows about another's servers, and since when.
@@ -68,7 +75,7 @@
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	w := &simulation{t: t, choices: check.NewUniformRand(t), now: epoch}
+	w := &simulation{t: t, choices: check.NewUniformRand(t), now: epoch, era: 1}
 	nodes := w.choices.Between(2, 5)
 	total := 0
 	for i := range nodes {
@@ -129,6 +136,9 @@
 }
 
 func (w *simulation) step() {
+	if w.restoresLeft > 0 && w.choices.Chance(restorePercent) {
+		w.restoreUnnoticed()
+	}
 	n := w.randomNode()
 	switch w.choices.IntN(20) {
 	case 0, 1, 2, 3:
@@ -159,12 +169,14 @@
 		return
 	}
 	ledger := w.ledger.Clone()
+	ledger.NoteEra(w.era)
 	n.holder.PrepareWrite(w.now, w.floor, nil, &ledger)
-	n.write = &write{ledger: ledger, version: w.version}
+	n.write = &write{ledger: ledger, version: w.version, era: w.era}
 	w.logf("%s writes %+v over %d", n.id, ledger, w.version)
 }
 
-// deliver lets a write reach the store. Its reply may be lost.
+// deliver lets a write reach the store. Its reply may be lost, and is not usable if the store
+// has come back from an older copy since the Ledger was read.
 func (w *simulation) deliver(n *simNode) {
 	if n.write == nil {
 		return
@@ -173,6 +185,7 @@
 	n.write = nil
 	accepted := !w.storeDown && sent.version == w.version
 	if accepted {
+		w.copies = append(w.copies, storeCopy{ledger: w.ledger, version: w.version})
 		w.ledger = sent.ledger
 		w.version++
 	}
@@ -180,7 +193,7 @@
 	if n.dead {
 		return
 	}
-	if w.storeDown || w.choices.IntN(4) == 0 {
+	if w.storeDown || accepted && sent.era != w.era || w.choices.IntN(4) == 0 {
 		w.logf("%s: reply lost", n.id)
 		n.holder.ReplyLost()
 		return
--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -79,7 +79,8 @@
 		// the sender knows.
 		Records []Record
 		// RecipientUnknown is set in an answer to a node that the sender did not
-		// know or took for dead. That node then sends its own record again.
+		// know or took for dead, and in a message to a seed that it does not know.
+		// That node then sends its own record again.
 		RecipientUnknown bool
 	}
 
@@ -265,6 +266,7 @@
 	}
 	p := g.peer(m.From)
 	p.failures = 0
+	p.includeSelf = m.RecipientUnknown
 	answer := g.message(p, m.From)
 	g.returnDepartures(m, &answer)
 	p.ackedSeq = p.sentSeq
@@ -497,15 +499,15 @@
 	}
 	p.nothingToSend = len(unsent) == 0
 	slices.SortFunc(unsent, func(a, b *entry) int { return cmp.Compare(a.changeSeq, b.changeSeq) })
-	limit := min(maxMessageRecords, int(g.budgetBytes/recordBytes))
-	if len(unsent) <= limit {
-		p.sentSeq = g.sequence
-	}
-	for _, e := range unsent[:min(len(unsent), limit)] {
+	for i, e := range unsent {
+		if i == maxMessageRecords || g.budgetBytes < e.wireBytes() {
+			return m
+		}
 		m.Records = append(m.Records, e.Record)
 		p.sentSeq = max(p.sentSeq, e.changeSeq)
 		g.budgetBytes -= e.wireBytes()
 	}
+	p.sentSeq = g.sequence
 	return m
 }
 
