link: a session that is being dialed ends with its Pool

What was seen: the last case of TestDepartureOutlivesStoreAndRun failed once in 12 runs, once in 120, and with trace lines in five of eight series of up to 40 ("1 nodes are known" after 5 s).

Cause: Close left a session that was still being dialed. It was opened afterwards, and served its peer's streams in the name of a node that had ended. With trace lines, the peer got answers of the earlier run for 5 s and never dialed the next. A process that exits takes such a session with it, so only nodes that share a process were concerned.

Change: a session that is opened after Close is closed.

Why it works: the dial looks at the Pool's state after Close can see the session, so one of the two closes it.

--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,6 +85,7 @@
 	Pool struct {
 		config   Config
 		handler  Handler
+		closed   atomic.Bool
 		mutex    sync.Mutex
 		sessions map[string]*sessionEntry
 		clocks   map[string]*PeerClock
@@ -188,9 +190,10 @@
 	}
 }
 
-// Close closes all sessions and thereby all open streams. Sessions that are still
-// being dialed are not closed.
+// Close closes all sessions and thereby all open streams. A session that is still being
+// dialed is closed as soon as it is open.
 func (p *Pool) Close() {
+	p.closed.Store(true)
 	p.mutex.Lock()
 	sessions := p.sessions
 	p.sessions = map[string]*sessionEntry{}
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -27,6 +27,9 @@
 			p.remove(address, entry)
 		}
 		close(entry.ready)
+		if entry.err == nil && p.closed.Load() {
+			_ = entry.session.Close()
+		}
 	}()
 }
 
