--- a/internal/proxy/node/departures.go
+++ b/internal/proxy/node/departures.go
@@ -54,11 +54,11 @@
 func (e *registration) saved() bool {
 	select {
 	case e.writing <- struct{}{}:
-		defer e.endWrite()
-		return !e.unsaved.Load()
 	default:
 		return false
 	}
+	defer e.endWrite()
+	return !e.unsaved.Load()
 }
 
 // writeOnce writes the entry and reports whether it is stored. It does not try while the store is
--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -86,7 +86,8 @@
 func newRegistration(n *Node, watched *countedStore) *registration {
 	return &registration{
 		node: n, store: watched,
-		recheck: make(chan struct{}, 1), save: make(chan struct{}, 1), writing: make(chan struct{}, 1), restored: make(chan struct{}),
+		recheck: make(chan struct{}, 1), save: make(chan struct{}, 1), writing: make(chan struct{}, 1),
+		restored: make(chan struct{}),
 	}
 }
 
