front, node, admit: parts of large files move to files of their own

What takes a request in (front/intake.go), the messages of the membership (node/gossip.go) and what ends an attempt (admit/attempts.go). Nothing else changes.

--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/base/events"
-	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/peer/wire"
-	"github.com/figwick/figwick/internal/policy/limit"
 	"github.com/figwick/figwick/internal/policy/retry"
 	"github.com/figwick/figwick/internal/policy/route"
 	"github.com/figwick/figwick/internal/state/config"
@@ -346,180 +341,6 @@
 	return x.server.config.Clock.Now()
 }
 
-// accept validates the request, matches it to a service and applies the caller's
-// limit. It reports false if it has answered the request itself.
-func (x *exchange) accept() bool {
-	r := x.request
-	// The options are read first, since every answer carries the caller's request
-	// id, also that to an invalid request.
-	options, err := x.server.config.HeaderCodec.Read(r.Header)
-	x.options = options
-	if err != nil {
-		x.notRun(failureInfo{status: http.StatusBadRequest, step: "accept", detail: err.Error()})
-		return false
-	}
-	if r.Method == http.MethodConnect || isUpgrade(r) {
-		x.notRun(failureInfo{status: http.StatusNotImplemented, step: "accept", detail: "CONNECT and Upgrade are not served"})
-		return false
-	}
-	table := x.server.Table()
-	if table == nil {
-		x.notRun(failureInfo{
-			status: http.StatusServiceUnavailable, step: "accept", retryAfter: overloadRetryAfter,
-			detail: "this node has no configuration yet",
-		})
-		return false
-	}
-	match, found := table.Match(r.Host, r.Method, targetPath(r), x.server.config.Random.Float64())
-	if !found {
-		x.notRun(failureInfo{status: http.StatusNotFound, step: "route", detail: fmt.Sprintf("no service for host %q", r.Host)})
-		return false
-	}
-	x.match = match
-	x.applyOptions()
-	if x.refuseOutlasting() {
-		return false
-	}
-	if r.ContentLength > match.MaxBodyBytes {
-		x.notRun(failureInfo{
-			status: http.StatusRequestEntityTooLarge, step: "accept",
-			detail: fmt.Sprintf("the body has more than %d bytes", match.MaxBodyBytes),
-		})
-		return false
-	}
-	x.preparePlan()
-	return x.checkLimit()
-}
-
-// settleBody ends the reading of the caller's body before the response begins, so that the
-// response does not wait for it. With HTTP/2 both are independent.
-func (x *exchange) settleBody() {
-	switch {
-	case x.request.ProtoMajor != 1:
-	case x.body != nil:
-		x.body.settle()
-	case x.request.ContentLength != 0:
-		_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(bodyRestTime))
-	}
-}
-
-// targetPath returns the request's path in the form in which the request line has
-// it, without decoding.
-func targetPath(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		target, _, _ := strings.Cut(r.RequestURI, "?")
-		return target
-	}
-	return r.URL.EscapedPath()
-}
-
-// applyOptions combines the caller's options with the route's settings.
-func (x *exchange) applyOptions() {
-	options := x.options
-	x.repeatable = x.match.Repeatable && !options.NonRepeatable
-	timeout := x.match.Deadline
-	if options.Timeout > 0 {
-		timeout = min(timeout, max(options.Timeout-x.server.config.DeadlineMargin, options.Timeout/2))
-	}
-	x.deadline = x.arrived.Add(timeout)
-	x.headers = x.forwardedHeaders()
-}
-
-// preparePlan sets up the plan of attempts and adds the request's share to the
-// retry budget.
-func (x *exchange) preparePlan() {
-	x.server.withService(x.match.Entry.Name, func(t eval.Context, svc *service) {
-		svc.lastRequest = t.Now
-		svc.budget.Earn(t.Now, x.match.Entry.Retry.BudgetPercent)
-		x.plan = retry.Plan{
-			Repeatable:  x.repeatable,
-			MaxAttempts: x.match.Attempts,
-			Deadline:    x.deadline,
-		}
-		if !x.server.config.SidecarRetryBudget {
-			x.plan.Budget = &svc.budget
-		}
-		if x.server.config.NoWaitTries > 0 {
-			x.plan.MaxRefused = maxRefused
-			x.noWait = true
-		}
-	})
-}
-
-// checkLimit applies the caller's rate limit. It reports false if it has answered
-// the request with 429.
-func (x *exchange) checkLimit() bool {
-	e := x.match.Entry
-	caller := x.callerID()
-	rate, limited := x.match.Table.Limit(e, caller)
-	if !limited {
-		return true
-	}
-	allowed := false
-	var retryAfter time.Duration
-	x.server.WithLimits(func(now time.Time, local *limit.Limiter) {
-		key := limit.Key{Service: e.Name, Caller: caller}
-		allowed, retryAfter = local.Allow(now, key, limit.Rate{PerSecond: rate.Rate, Burst: rate.Burst})
-	})
-	if allowed {
-		return true
-	}
-	x.server.config.Meter.Limited.Inc(1)
-	x.notRun(failureInfo{
-		status: http.StatusTooManyRequests, step: "limit", retryAfter: max(retryAfter, time.Millisecond),
-		detail: fmt.Sprintf("caller %q is over its limit of %g requests a second", caller, rate.Rate),
-	})
-	return false
-}
-
-// callerID returns the caller's id from the service's caller header. Without one
-// it is the caller's IP address.
-func (x *exchange) callerID() ident.Caller {
-	if name := x.match.Entry.Limits.CallerHeader; name != "" {
-		if id := x.request.Header.Get(name); id != "" {
-			return ident.Caller(id)
-		}
-	}
-	host, _, err := net.SplitHostPort(x.request.RemoteAddr)
-	if err != nil {
-		return ident.Caller(x.request.RemoteAddr)
-	}
-	return ident.Caller(host)
-}
-
-// forwardedHeaders returns the header fields for the backend server: the caller's
-// fields except those meant for the ingress, with the caller's address appended
-// to X-Forwarded-For.
-func (x *exchange) forwardedHeaders() []*wire.Header {
-	h := x.request.Header
-	fields := wire.FromHeader(h)
-	kept := fields[:0]
-	for _, field := range fields {
-		if field.Name == "Expect" || field.Name == "X-Forwarded-For" || !x.server.config.HeaderCodec.Forwards(field.Name) {
-			continue
-		}
-		kept = append(kept, field)
-	}
-	if h.Get("Te") == "trailers" {
-		kept = append(kept, &wire.Header{Name: "Te", Value: []byte("trailers")})
-	}
-	forwardedFor := append(append([]string{}, h["X-Forwarded-For"]...), hostOf(x.request.RemoteAddr))
-	return append(kept, &wire.Header{Name: "X-Forwarded-For", Value: []byte(strings.Join(forwardedFor, ", "))})
-}
-
-// hostOf returns the host of an address, or the whole address if it has no port.
-func hostOf(address string) string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return host
-}
-
-func isUpgrade(r *http.Request) bool {
-	return r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect
-}
-
 // errPathSilent is the cause that cancels an attempt whose path did not answer a
 // ping.
 var errPathSilent = errors.New("front: path does not answer pings")
