--- a/internal/state/member/departure_test.go
+++ b/internal/state/member/departure_test.go
@@ -102,11 +102,14 @@
 	}
 	now := time.Unix(1, 0)
 	g.MergeRecords(now, records)
+	sent := 0
 	for range 4 {
 		for _, x := range g.ExchangeAll(eval.Context{Now: now, Random: eval.NewRandom(1)}) {
+			sent += len(x.Message.Records)
 			g.Failed(eval.Context{Now: now, Random: eval.NewRandom(1)}, x.To)
 		}
 	}
+	assert.Check(t, sent > 0, "no record was sent")
 }
 
 // TestSeedIsKnownAfterLostAnswer guards against a node that restarts while the store is away and does not
