front: an attempt that sends a body sets no deadline after the response

What callers saw: nothing yet. The next request on a connection could be cut while it was read.

Cause: before each read of the caller's body a read deadline is set on the connection, also by an attempt that goes on sending the body when the response to its request has begun; only then did it notice that and return, and the deadline stayed. It may have passed, if the request was close to its own. net/http replaces it when it waits for the next request, unless the attempt comes later.

Change: the attempt looks first whether the caller is being answered.

Why it works: settle holds the body's mutex until the connection has its deadline removed. A read that begins after it returns before it touches the connection, and settle waits for one that began before.

--- a/internal/proxy/front/replay.go
+++ b/internal/proxy/front/replay.go
@@ -113,9 +113,13 @@
 // readCaller reads from the caller and keeps the bytes while they fit into
 // prefix. The mutex must be held.
 func (b *replayableBody) readCaller(p []byte) (int, error) {
+	// The connection may have its next request by now.
+	if b.answering.Load() {
+		return 0, errAnswering
+	}
 	// At the deadline the attempt ends first, for that reason.
 	_ = b.control.SetReadDeadline(time.Now().Add(min(bodyReadTimeout, b.timeLeft()+bodyRestTime)))
-	// settle sets an earlier deadline after it has set answering.
+	// settle may have begun meanwhile; it sets its own deadline after it has set answering.
 	if b.answering.Load() {
 		return 0, errAnswering
 	}
