front, link: a request that is not sent to a sidecar has not run

What callers saw: in a planned restart of all nodes, an order was answered as unknown (502, "send kind 2: stream closed") although its sidecar had never received it. The caller must not send it again then.

Cause: an ingress that is late opens a stream on a session that its stopping peer closes at that moment. An error of sending the request's head counted as a lost attempt, whatever the error.

Change: where the error shows that the stream had ended before the head was written whole, the attempt counts as one that did not reach its sidecar. Another sidecar is tried, or the caller is told that the request was not run.

Why it works: a stream reports that it has ended before it queues the rest of a message, and a sidecar starts nothing before it has received the whole head.

--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -161,6 +161,12 @@
 	}
 }
 
+// IsUnsent reports whether the error of sending a message shows that the peer does not receive
+// all of it, since the stream had ended before.
+func IsUnsent(err error) bool {
+	return errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset)
+}
+
 // Close ends the exchange. It does not release the Conn: each owner of the Conn
 // releases it after its last use.
 func (s *Stream) Close() error {
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -133,7 +133,11 @@
 // run sends the request and receives the response.
 func (a *attempt) run() result {
 	if err := a.stream.Send(wire.KindRequestHead, a.head()); err != nil {
-		return a.lost("send", err)
+		r := a.lost("send", err)
+		if link.IsUnsent(err) {
+			r.outcome = retry.Unreached
+		}
+		return r
 	}
 	if a.x.body.length != 0 {
 		a.stream.Retain()
--- a/internal/proxy/front/stop_test.go
+++ b/internal/proxy/front/stop_test.go
@@ -52,6 +52,11 @@
 // newStopServer returns an ingress with two sidecars and its opener.
 func newStopServer(clock *clockwork.FakeClock) (*front.Server, *countingOpener) {
 	opener := &countingOpener{clock: clock}
+	return newStopServerWith(clock, opener), opener
+}
+
+// newStopServerWith returns an ingress with two sidecars and the given opener.
+func newStopServerWith(clock *clockwork.FakeClock, opener front.Opener) *front.Server {
 	s := front.NewServer(front.Config{
 		Clock: clock, Random: eval.NewRandom(1), Log: hclog.NewNullLogger(), Meter: meter.New(tally.NoopScope),
 		Links: opener, Finder: noSidecars{}, Relays: noSidecars{},
@@ -67,7 +72,7 @@
 	s.SetSidecars("shop", []route.Sidecar{
 		{Address: "10.0.0.1:7", Node: "node-2", Slots: 3}, {Address: "10.0.0.2:7", Node: "node-3", Slots: 3},
 	})
-	return s, opener
+	return s
 }
 
 func newOrder() *http.Request {
