quota, queue, admit: a backend server gets no more than the limit it names

The sidecar sees every request to its server and every response, so it counts, without a message and at any limit and size of fleet: a token bucket beside the slots. What finds no token and would miss its target is refused at once, with the time of the next one; where all sidecars refuse, the caller's Retry-After is not before the shortest of these.

--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -53,6 +53,7 @@
 	BackendMoved      = Event{307, "backend-moved", hclog.Info, "A backend server announced itself to another node with a higher incarnation."}
 	BackendRefused    = Event{308, "backend-refused", hclog.Warn, "The announcement of a backend server could not be read or was older than the known one; it was ignored."}
 	AttemptFailed     = Event{309, "attempt-failed", hclog.Info, "A backend server failed an attempt."}
+	LimitUnread       = Event{311, "limit-unread", hclog.Warn, "A backend server named a limit that is no decimal number of requests per second; what it named before holds on."}
 	OutcomeUnknown    = Event{401, "outcome-unknown", hclog.Warn, "A caller was told that its request may have been run."}
 	AnswerRecovered   = Event{402, "answer-recovered", hclog.Info, "A response lost on its way was retrieved by a fence."}
 	AnswerCut         = Event{403, "answer-cut", hclog.Warn, "A response ended early after its first bytes had been sent to the caller; the caller's connection was closed."}
@@ -79,6 +80,7 @@
 		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked, SettingsRead, SettingsBroken, LinesDropped, NodeDraining,
 		ConfigAdopted, ConfigAccepted, ConfigRefused, ConfigOld, ConfigBroken, ConfigUnfetched, ConfigUnwritten,
 		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused, AttemptFailed,
+		LimitUnread,
 		OutcomeUnknown, AnswerRecovered, AnswerCut, RequestRefused, FailurePassed,
 		NodeJoined, NodeSuspected, NodeDead, NodeBack, PeerRefused,
 		StoreAway, StoreBack, EntryLost, EntryBroken, DepartureUnkept, StoreRestored, DepartureRestored, ClaimsUnwritten,
--- a/internal/policy/admit/attempts.go
+++ b/internal/policy/admit/attempts.go
@@ -9,6 +9,23 @@
 	"github.com/figwick/figwick/internal/policy/health"
 )
 
+type (
+	// Notice is what a backend server says of itself in a response.
+	Notice struct {
+		Limit Limit
+	}
+
+	// Limit is the rate that a backend server takes from all callers together. The
+	// zero value says that it takes any number.
+	Limit struct {
+		Named     bool
+		PerSecond float64
+		// Unreadable says that the server has named a limit that is not a number of
+		// requests. What it named before holds on.
+		Unreadable bool
+	}
+)
+
 // Finish records the result of an attempt that held a slot, and frees the slot. An
 // answer that is not nil is kept for an ingress that loses the response.
 func (c *Controller) Finish(t eval.Context, id ident.Attempt, r health.Result, answer *fence.Answer) Ops {
@@ -59,6 +76,28 @@
 	}
 }
 
+// ApplyNotice applies what a backend server says of itself in the response to an attempt.
+func (c *Controller) ApplyNotice(t eval.Context, id ident.Attempt, n Notice) Ops {
+	var ops Ops
+	h, found := c.active[id]
+	if !found || h.server == "" {
+		return ops
+	}
+	s, v := c.services[h.Service], h.serverState
+	if s.servers[h.server] != v {
+		return ops
+	}
+	switch {
+	case n.Limit.Named:
+		v.limitNamedAt = t.Now
+		c.applyOutcome(t, s, s.queue.Limit(t, v.ID, n.Limit.PerSecond), &ops)
+	case !n.Limit.Unreadable && !h.startedAt.Before(v.limitNamedAt):
+		// A response to an attempt that started earlier may be older than the limit.
+		c.applyOutcome(t, s, s.queue.Lift(t, v.ID), &ops)
+	}
+	return ops
+}
+
 // FinishUnsent ends an attempt that was granted a slot but of which no byte
 // reached the backend server. It counts as not run.
 func (c *Controller) FinishUnsent(t eval.Context, id ident.Attempt, r health.Result) Ops {
--- a/internal/policy/admit/controller.go
+++ b/internal/policy/admit/controller.go
@@ -74,6 +74,9 @@
 	// end a lengthened hold after the base hold. So many refusals show that the other
 	// sidecars have no free slots for them.
 	loneTurnedAway = 3
+
+	// minLimitPause is the shortest pause that is named because of a limit.
+	minLimitPause = 500 * time.Millisecond
 )
 
 type (
@@ -214,6 +217,8 @@
 		// coldSince and coldUntil bound the ramp-up of a new or returned server.
 		coldSince time.Time
 		coldUntil time.Time
+		// limitNamedAt is when the server last named the rate that it takes.
+		limitNamedAt time.Time
 	}
 
 	// active is an attempt that waits or holds a slot.
@@ -224,6 +229,8 @@
 		// serverState is the incarnation that the slot belongs to. Results do not
 		// count for a server that has restarted since.
 		serverState *serverState
+		// startedAt is when the attempt got its slot.
+		startedAt time.Time
 	}
 )
 
@@ -260,7 +267,7 @@
 		c.fences.Withdraw(a.ID)
 		return refuse(RetryBudgetSpent)
 	}
-	decision, grant := s.queue.Submit(t, queue.Entry{
+	entry := queue.Entry{
 		Attempt:         a.ID,
 		Repeatable:      a.Repeatable,
 		AllowLastResort: a.LastResort,
@@ -269,7 +276,8 @@
 		Priority:        s.priorityOf(&a),
 		NoWait:          a.NoWait,
 		Retry:           a.Retry,
-	})
+	}
+	decision, grant := s.queue.Submit(t, entry)
 	if decision != queue.Granted && decision != queue.Waiting {
 		c.refundBudget(s, a)
 	}
@@ -290,11 +298,20 @@
 		return Decision{Kind: Refused, Reason: NoneEligible, Pause: s.pause(t, a.Repeatable && !a.Retry)}
 	case queue.CannotMeetDeadline:
 		c.fences.Withdraw(a.ID)
-		return refuse(CannotMeetDeadline)
+		return Decision{Kind: Refused, Reason: CannotMeetDeadline, Pause: s.limitPause(t, entry)}
 	default:
 		c.fences.Withdraw(a.ID)
-		return refuse(Busy)
+		return Decision{Kind: Refused, Reason: Busy, Pause: s.limitPause(t, entry)}
+	}
+}
+
+// limitPause returns how long the limits of the servers keep back such attempts, 0 if that
+// is so short that an attempt may wait for it.
+func (s *service) limitPause(t eval.Context, e queue.Entry) time.Duration {
+	if wait := s.queue.QuotaWait(t, e); wait >= minLimitPause {
+		return wait
 	}
+	return 0
 }
 
 // serviceFor returns the service of an arriving attempt, or the reason why it is refused
@@ -400,6 +417,7 @@
 	}
 	h.server = g.Server
 	h.serverState = s.servers[g.Server]
+	h.startedAt = t.Now
 	if !h.HasBody {
 		s.tracker.Begin(t, g.Server, g.Attempt, h.Target)
 	}
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -8,6 +8,7 @@
 
 	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/base/ident"
+	"github.com/figwick/figwick/internal/policy/quota"
 )
 
 // The grades of a backend server.
@@ -100,12 +101,13 @@
 		Refused []ident.Attempt
 	}
 
-	// Server is a backend server with its slots. Busy is the number of slots in use, which
-	// the Queue keeps itself.
+	// Server is a backend server with its slots. Busy is the number of slots in use and Quota
+	// the rate that the server has named; the Queue keeps both itself.
 	Server struct {
 		ID    ident.Backend
 		Slots int
 		Busy  int
+		Quota quota.Quota
 		Grade Grade
 		// LongInFlight is how many attempts a server on trial or probation has had in flight
 		// for some time without a failure. It may get one more beside them.
@@ -150,13 +152,14 @@
 	}
 )
 
-// SetServer adds a server or replaces its settings; its busy slots are kept.
+// SetServer adds a server or replaces its settings; its busy slots and its
+// quota are kept.
 func (q *Queue) SetServer(t eval.Context, s Server) Outcome {
 	if known := q.server(s.ID); known != nil {
-		s.Busy = known.Busy
+		s.Busy, s.Quota = known.Busy, known.Quota
 		*known = s
 	} else {
-		s.Busy = 0
+		s.Busy, s.Quota = 0, quota.Quota{}
 		q.servers = append(q.servers, &s)
 	}
 	return q.dispatch(t)
@@ -182,7 +185,7 @@
 func (q *Queue) Submit(t eval.Context, e Entry) (Decision, Grant) {
 	if len(q.waiting) == 0 || q.position(t, e) == 0 {
 		if s := q.pick(t, e); s != nil {
-			s.Busy++
+			s.take(t)
 			q.arrivalsOf(t, e.Priority).record(t.Now)
 			return Granted, Grant{Attempt: e.Attempt, Server: s.ID}
 		}
@@ -198,7 +201,7 @@
 	if e.NoWait || index >= q.MaxWaitingPerServer*q.openServers() {
 		return Busy, Grant{}
 	}
-	if q.missesDeadline(t, e, q.workOf(q.waiting[:index])+q.mean, slots) {
+	if q.missesDeadline(t, e, q.workOf(q.waiting[:index])+q.mean, slots) || q.missesQuota(t, e, index) {
 		return CannotMeetDeadline, Grant{}
 	}
 	q.arrivalsOf(t, e.Priority).record(t.Now)
@@ -378,7 +381,7 @@
 	kept := q.waiting[:0]
 	for _, e := range q.waiting {
 		slots := q.slotsFor(t, e)
-		if slots == 0 || t.Now.Add(q.meanOf(e.Priority)).After(e.Deadline) || len(kept) > 0 && q.missesDeadline(t, e, q.workOf(kept), slots) {
+		if slots == 0 || t.Now.Add(q.meanOf(e.Priority)).After(e.Deadline) || len(kept) > 0 && q.missesDeadline(t, e, q.workOf(kept), slots) || q.missesQuota(t, e, len(kept)) {
 			out.Refused = append(out.Refused, e.Attempt)
 			continue
 		}
@@ -387,7 +390,7 @@
 			kept = append(kept, e)
 			continue
 		}
-		s.Busy++
+		s.take(t)
 		out.Grants = append(out.Grants, Grant{Attempt: e.Attempt, Server: s.ID})
 	}
 	q.waiting = kept
@@ -408,7 +411,7 @@
 func (q *Queue) pick(t eval.Context, e Entry) *Server {
 	var best *Server
 	for _, s := range q.servers {
-		if !s.accepts(e) || s.Busy >= s.usableSlots(t) {
+		if !s.accepts(e) || s.free(t) <= 0 {
 			continue
 		}
 		if s.Grade == Trial && q.sampledForTrial(t, e) {
--- a/internal/policy/route/picker.go
+++ b/internal/policy/route/picker.go
@@ -95,8 +95,8 @@
 		pausedUntil        time.Time
 		noTrialPausedUntil time.Time
 		// refusedWithPause is whether the sidecar's last reply was a refusal that
-		// named a pause. Such a sidecar is idle, so its load alone would make it
-		// look better than those that run requests.
+		// named a pause, without slots in service. Such a sidecar is idle, so its load
+		// alone would make it look better than those that run requests.
 		refusedWithPause bool
 	}
 )
@@ -217,8 +217,8 @@
 	s.setLoad(t, load)
 	s.failures = 0
 	s.busyBackoffUntil = t.Now.Add(busyBackoff)
-	s.refusedWithPause = pause > 0
-	if !s.refusedWithPause {
+	s.refusedWithPause = pause > 0 && load.Slots == 0
+	if pause <= 0 {
 		return
 	}
 	s.noTrialPausedUntil = t.Now.Add(pause)
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -131,14 +131,16 @@
 		return a.streamFailed(err)
 	}
 	a.observeClock(refusal.Load, a.x.now())
+	pause := time.Duration(refusal.PauseMs) * time.Millisecond
 	a.x.server.withService(a.x.match.Entry.Name, func(t eval.Context, svc *service) {
-		svc.picker.Refused(t, a.sidecar.Address, reportedLoad(refusal.Load), time.Duration(refusal.PauseMs)*time.Millisecond, a.x.mayUseTrial())
+		svc.picker.Refused(t, a.sidecar.Address, reportedLoad(refusal.Load), pause, a.x.mayUseTrial())
 	})
 	outcome := retry.Refused
 	if refusal.Arrived {
 		outcome = retry.Shed
 	}
 	r := a.failed(outcome, "refused", errors.Newf("refused: %s", refusal.Detail))
+	r.pause = pause
 	r.noBackend = refusal.Reason == wire.Reason_REASON_NO_BACKEND || refusal.Reason == wire.Reason_REASON_LEAVING
 	return r
 }
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -43,6 +43,8 @@
 		// fallback is a backend server's 5xx response. The caller gets it if no
 		// other attempt does better.
 		fallback *response
+		// pause is how long the sidecar that refused expects to go on refusing.
+		pause time.Duration
 	}
 
 	// attempt is one attempt on its stream to a sidecar.
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,6 +76,8 @@
 	// claim is the claim on the request's idempotency key. It is nil if the
 	// request has none.
 	claim *keys.Claim
+	// pauses holds the pause that each sidecar named which has refused the request.
+	pauses []time.Duration
 	// lastFailure is why the last attempt failed.
 	lastFailure failureInfo
 	// fallback is the last 5xx response of a backend server. The caller gets it
@@ -119,6 +122,9 @@
 			return
 		}
 		x.lastFailure = result.failure
+		if result.outcome == retry.Refused {
+			x.pauses = append(x.pauses, result.pause)
+		}
 		if result.fallback != nil {
 			x.fallback = result.fallback
 		}
@@ -279,10 +285,19 @@
 	if !x.now().Before(x.deadline) {
 		failure.status = http.StatusGatewayTimeout
 	}
-	failure.retryAfter = overloadRetryAfter
+	failure.retryAfter = x.retryAfter()
 	x.notRun(failure)
 }
 
+// retryAfter returns when a request that was refused may come again: not before one of
+// the sidecars that refused it expects to accept such requests.
+func (x *exchange) retryAfter() time.Duration {
+	if len(x.pauses) == 0 {
+		return overloadRetryAfter
+	}
+	return max(overloadRetryAfter, slices.Min(x.pauses))
+}
+
 // logPassedFailure logs that a backend server's failed response is passed on to
 // the caller, and the reason why no further attempt is made.
 func (x *exchange) logPassedFailure(failure *response, reason string) {
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/figwick/figwick/internal/base/eval"
+	"github.com/figwick/figwick/internal/base/events"
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/admit"
@@ -34,6 +35,8 @@
 	outcomeHeader = "Figwick-Outcome"
 	outcomeNotRun = "not-run"
 	retryAfter    = "Retry-After"
+
+	rateLimitHeader = "Figwick-Rate-Limit"
 )
 
 // errUnverified marks a response that may come from something other than the
@@ -53,7 +56,9 @@
 
 // sendResponse passes a response on to the ingress and finishes the attempt.
 func (a *attempt) sendResponse(ctx context.Context, r *http.Response) {
-	switch class := a.server.config.HeaderCodec.Classify(r); class {
+	class := a.server.config.HeaderCodec.Classify(r)
+	a.applyNotice(r, class)
+	switch class {
 	case NotRun, WrongServer:
 		a.server.Do(func(t eval.Context, d *admit.Controller) admit.Ops { return d.FinishShed(t, a.id) })
 		a.refuse(&wire.Refusal{Reason: class.refusalReason(), Detail: "refused by the backend server", Arrived: true})
@@ -91,6 +96,20 @@
 	a.flush()
 }
 
+// applyNotice applies what the backend server says of itself in a response, unless the
+// response may come from something else.
+func (a *attempt) applyNotice(r *http.Response, class ResponseClass) {
+	s := a.server
+	n := s.config.HeaderCodec.Notice(r)
+	if class == WrongServer || class == Unverified {
+		return
+	}
+	s.Do(func(t eval.Context, d *admit.Controller) admit.Ops { return d.ApplyNotice(t, a.id, n) })
+	if n.Limit.Unreadable {
+		events.Emit(s.config.Log, events.LimitUnread, "service", string(a.service), "attempt", string(a.id))
+	}
+}
+
 // flush sends the frames that Gather has held back.
 func (a *attempt) flush() {
 	a.sendMutex.Lock()
--- a/internal/proxy/side/codec.go
+++ b/internal/proxy/side/codec.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/peer/wire"
+	"github.com/figwick/figwick/internal/policy/admit"
 )
 
 // The classes of a backend server's response.
@@ -44,6 +46,9 @@
 		SetRequest(h http.Header, o RequestInfo)
 		// Matches reports whether a response belongs to a request.
 		Matches(request *http.Request, response *http.Response) bool
+		// Notice returns what the backend server says of itself in a response. It may
+		// remove header fields that are meant for the sidecar.
+		Notice(response *http.Response) admit.Notice
 		// Classify returns the class of a response. It may remove header fields
 		// that are meant for the sidecar.
 		Classify(response *http.Response) ResponseClass
@@ -61,6 +66,42 @@
 	return true
 }
 
+// Notice reads "Figwick-Rate-Limit", the requests per second that the backend server
+// takes. It removes the field.
+func (NativeHeaders) Notice(r *http.Response) admit.Notice {
+	n := admit.Notice{Limit: ParseLimit(r.Header.Values(rateLimitHeader))}
+	r.Header.Del(rateLimitHeader)
+	return n
+}
+
+// ParseLimit returns the limit in the values of a header field: a decimal number such as
+// 12 or 0.5, in requests per second. Of several numbers the lowest counts. The limit is
+// unreadable if any value is something else, such as a negative number or an exponent.
+func ParseLimit(values []string) admit.Limit {
+	var limit admit.Limit
+	for _, text := range values {
+		perSecond, ok := parseDecimal(text)
+		if !ok {
+			return admit.Limit{Unreadable: true}
+		}
+		if !limit.Named || perSecond < limit.PerSecond {
+			limit = admit.Limit{Named: true, PerSecond: perSecond}
+		}
+	}
+	return limit
+}
+
+// parseDecimal parses digits with at most one decimal point.
+func parseDecimal(text string) (float64, bool) {
+	for _, c := range text {
+		if c != '.' && (c < '0' || c > '9') {
+			return 0, false
+		}
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	return number, err == nil
+}
+
 // Classify returns NotRun for a 503 with "Figwick-Outcome: not-run", by which a
 // backend server refuses a request because of load. It removes that field.
 func (NativeHeaders) Classify(r *http.Response) ResponseClass {
