--- a/internal/base/events/events.go
+++ b/internal/base/events/events.go
@@ -53,6 +53,7 @@
 	BackendMoved      = Event{307, "backend-moved", hclog.Info, "A backend server announced itself to another node with a higher incarnation."}
 	BackendRefused    = Event{308, "backend-refused", hclog.Warn, "The announcement of a backend server could not be read or was older than the known one; it was ignored."}
 	AttemptFailed     = Event{309, "attempt-failed", hclog.Info, "A backend server failed an attempt."}
+	BackendLeaving    = Event{310, "backend-leaving", hclog.Info, "A backend server said in a response that it is leaving; it gets no further requests."}
 	LimitUnread       = Event{311, "limit-unread", hclog.Warn, "A backend server named a limit that is no decimal number of requests per second; what it named before holds on."}
 	OutcomeUnknown    = Event{401, "outcome-unknown", hclog.Warn, "A caller was told that its request may have been run."}
 	AnswerRecovered   = Event{402, "answer-recovered", hclog.Info, "A response lost on its way was retrieved by a fence."}
@@ -80,7 +81,7 @@
 		NodeStarted, NodeLeaving, NodeStopped, NodeCut, ListenerFailed, HandlerPanicked, SettingsRead, SettingsBroken, LinesDropped, NodeDraining,
 		ConfigAdopted, ConfigAccepted, ConfigRefused, ConfigOld, ConfigBroken, ConfigUnfetched, ConfigUnwritten,
 		BackendAnnounced, BackendGone, BackendEjected, BackendLast, BackendTrial, BackendReturned, BackendMoved, BackendRefused, AttemptFailed,
-		LimitUnread,
+		BackendLeaving, LimitUnread,
 		OutcomeUnknown, AnswerRecovered, AnswerCut, RequestRefused, FailurePassed,
 		NodeJoined, NodeSuspected, NodeDead, NodeBack, PeerRefused,
 		StoreAway, StoreBack, EntryLost, EntryBroken, DepartureUnkept, StoreRestored, DepartureRestored, ClaimsUnwritten,
--- a/internal/policy/admit/attempts.go
+++ b/internal/policy/admit/attempts.go
@@ -7,12 +7,15 @@
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/policy/fence"
 	"github.com/figwick/figwick/internal/policy/health"
+	"github.com/figwick/figwick/internal/state/roster"
 )
 
 type (
 	// Notice is what a backend server says of itself in a response.
 	Notice struct {
-		Limit Limit
+		// Leaving says that the server leaves and must get no further request.
+		Leaving bool
+		Limit   Limit
 	}
 
 	// Limit is the rate that a backend server takes from all callers together. The
@@ -77,15 +80,15 @@
 }
 
 // ApplyNotice applies what a backend server says of itself in the response to an attempt.
-func (c *Controller) ApplyNotice(t eval.Context, id ident.Attempt, n Notice) Ops {
-	var ops Ops
+// It reports whether the server is leaving and this was not known.
+func (c *Controller) ApplyNotice(t eval.Context, id ident.Attempt, n Notice) (ops Ops, leaving bool) {
 	h, found := c.active[id]
 	if !found || h.server == "" {
-		return ops
+		return ops, false
 	}
 	s, v := c.services[h.Service], h.serverState
 	if s.servers[h.server] != v {
-		return ops
+		return ops, false
 	}
 	switch {
 	case n.Limit.Named:
@@ -95,7 +98,13 @@
 		// A response to an attempt that started earlier may be older than the limit.
 		c.applyOutcome(t, s, s.queue.Lift(t, v.ID), &ops)
 	}
-	return ops
+	if !n.Leaving || v.State == roster.Draining {
+		return ops, false
+	}
+	if change, known := c.roster.Drain(v.ID, v.Incarnation); known {
+		c.applyChange(t, change, &ops)
+	}
+	return ops, true
 }
 
 // FinishUnsent ends an attempt that was granted a slot but of which no byte
--- a/internal/policy/admit/limit_test.go
+++ b/internal/policy/admit/limit_test.go
@@ -158,7 +158,8 @@
 			return
 		}
 		notice := admit.Notice{Limit: admit.Limit{Named: s.named, PerSecond: s.limit}}
-		s.start(s.controller.ApplyNotice(s.turn(), id, notice))
+		ops, _ := s.controller.ApplyNotice(s.turn(), id, notice)
+		s.start(ops)
 		s.start(s.controller.Finish(s.turn(), id, health.Result{Outcome: health.OK, Took: took}, nil))
 	})
 }
@@ -262,3 +263,39 @@
 	s.send("lifted", true)
 	assert.Equal(t, len(s.arrivals), 4)
 }
+
+// TestLeavingServerGetsNothing guards against requests to a server that has said in a response that it
+// leaves: a late announcement does not bring it back, nor does a restart of its sidecar if an
+// ingress remembers.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	s := newLimitedServer(t, 1, 0)
+	s.play(8 * time.Second)
+	s.send("1", true)
+	ops, leaving := s.controller.ApplyNotice(s.turn(), "1", admit.Notice{Leaving: true})
+	s.start(ops)
+	assert.Check(t, leaving)
+	_, leaving = s.controller.ApplyNotice(s.turn(), "1", admit.Notice{Leaving: true})
+	assert.Check(t, !leaving, "it is known already")
+	service, slots := s.controller.Serving()
+	assert.Equal(t, slots, 0, "slots of %s", service)
+	s.send("2", true)
+	s.announce(roster.Serving)
+	s.send("3", true)
+	assert.Equal(t, len(s.arrivals), 1)
+
+	s.restart(time.Hour)
+	s.announce(roster.Serving)
+	s.start(s.controller.RestoreLeaving(s.turn(), "ledger-1", 1))
+	s.send("4", true)
+	assert.Equal(t, len(s.arrivals), 1)
+
+	s.restart(time.Hour)
+	s.start(s.controller.RestoreLeaving(s.turn(), "ledger-1", 1))
+	_, err := s.controller.Announce(s.turn(), roster.Announcement{
+		ID: "ledger-1", Service: "ledger", Address: "10.0.0.1:80", Slots: 5, Incarnation: 2, State: roster.Serving,
+	})
+	assert.NilError(t, err)
+	s.start(s.controller.RestoreLeaving(s.turn(), "ledger-1", 1))
+	s.send("5", true)
+	assert.Equal(t, len(s.arrivals), 2, "a new incarnation serves")
+}
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -65,14 +65,7 @@
 	case wire.KindFailure:
 		return a.handleFailure(f), true
 	case wire.KindResponseHead:
-		head, err := wire.Decode[wire.ResponseHead](f, wire.KindResponseHead)
-		if err != nil || a.response != nil {
-			return a.streamFailed(wire.ErrFrame), true
-		}
-		if !a.x.race.win(a) {
-			return a.lost("hedge", errHedged), true
-		}
-		a.response = a.x.newResponse(head)
+		return a.beginResponse(f)
 	case wire.KindBody:
 		if a.response == nil {
 			return a.streamFailed(wire.ErrFrame), true
@@ -92,6 +85,22 @@
 	return result{}, false
 }
 
+// beginResponse handles the head of a response.
+func (a *attempt) beginResponse(f wire.Frame) (result, bool) {
+	head, err := wire.Decode[wire.ResponseHead](f, wire.KindResponseHead)
+	if err != nil || a.response != nil {
+		return a.streamFailed(wire.ErrFrame), true
+	}
+	if !a.x.race.win(a) {
+		return a.lost("hedge", errHedged), true
+	}
+	if head.Departed != nil {
+		a.x.noteDeparture(a.sidecar.Address, head.Departed)
+	}
+	a.response = a.x.newResponse(head)
+	return result{}, false
+}
+
 // markStarted notes that a backend server is receiving the request.
 func (a *attempt) markStarted() {
 	if !a.hasStarted {
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -174,6 +174,7 @@
 		Level:         x.baseline(a.sidecar.Address),
 		Origin:        string(x.server.config.Origin),
 		Priority:      uint32(x.match.Priority),
+		Departed:      x.departedAt(a.sidecar.Address),
 	}
 	if x.match.TargetLatency > 0 {
 		head.TargetMs = max(1, (x.match.TargetLatency - a.sentAt.Sub(x.arrived)).Milliseconds())
--- a/internal/proxy/front/fence.go
+++ b/internal/proxy/front/fence.go
@@ -66,6 +66,9 @@
 	a.x.server.config.Meter.Recovered.Inc(1)
 	events.Emit(a.x.server.config.Log, events.AnswerRecovered,
 		"service", string(a.x.match.Entry.Name), "peer", a.sidecar.Address)
+	if reply.Head.GetDeparted() != nil {
+		a.x.noteDeparture(a.sidecar.Address, reply.Head.Departed)
+	}
 	r := a.x.newResponse(reply.Head)
 	r.held = reply.Body
 	if err := r.finish(reply.Trailers); err != nil {
--- a/internal/proxy/front/server.go
+++ b/internal/proxy/front/server.go
@@ -137,6 +137,7 @@
 		lastRequest time.Time
 		// nextFind is the earliest time of the next directory lookup.
 		nextFind time.Time
+		departed departures
 	}
 )
 
--- a/internal/proxy/node/backends.go
+++ b/internal/proxy/node/backends.go
@@ -138,6 +138,19 @@
 	events.Emit(n.log, events.BackendGone, "backend-server", string(id), "known", known)
 }
 
+// onLeaving spreads and persists, as for an announcement, that a backend server has said in
+// a response that it is leaving. It doesn't wait for that.
+func (n *Node) onLeaving(id ident.Backend, incarnation ident.Incarnation) {
+	events.Emit(n.log, events.BackendLeaving, "backend-server", string(id), "incarnation", uint64(incarnation))
+	if !n.config.StoreDiscovery {
+		return
+	}
+	go func() {
+		n.registration.persistDeparture(id, incarnation)
+		n.updateServing()
+	}()
+}
+
 func (n *Node) announce(a roster.Announcement) (allowed bool, err error) {
 	known := false
 	n.side.Do(func(t eval.Context, d *admit.Controller) admit.Ops {
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -228,6 +228,7 @@
 		Instance:    n.instance,
 		Started:     n.started,
 		HeaderCodec: c.BackendCodec,
+		OnLeaving:   n.onLeaving,
 	})
 	watched := &countedStore{Store: c.Store, meter: n.meter, log: c.Log}
 	n.directory = &directory{node: n}
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -36,6 +36,7 @@
 	outcomeNotRun = "not-run"
 	retryAfter    = "Retry-After"
 
+	leavingHeader   = "Figwick-Leaving"
 	rateLimitHeader = "Figwick-Rate-Limit"
 )
 
@@ -57,7 +58,7 @@
 // sendResponse passes a response on to the ingress and finishes the attempt.
 func (a *attempt) sendResponse(ctx context.Context, r *http.Response) {
 	class := a.server.config.HeaderCodec.Classify(r)
-	a.applyNotice(r, class)
+	departed := a.applyNotice(r, class)
 	switch class {
 	case NotRun, WrongServer:
 		a.server.Do(func(t eval.Context, d *admit.Controller) admit.Ops { return d.FinishShed(t, a.id) })
@@ -72,6 +73,7 @@
 		Status:        int32(r.StatusCode),
 		Headers:       wire.FromHeader(r.Header),
 		ContentLength: r.ContentLength,
+		Departed:      departed,
 	}
 	for name := range r.Trailer {
 		head.TrailerNames = append(head.TrailerNames, name)
@@ -97,17 +99,29 @@
 }
 
 // applyNotice applies what the backend server says of itself in a response, unless the
-// response may come from something else.
-func (a *attempt) applyNotice(r *http.Response, class ResponseClass) {
+// response may come from something else. It returns the server if it is leaving.
+func (a *attempt) applyNotice(r *http.Response, class ResponseClass) *wire.Departure {
 	s := a.server
 	n := s.config.HeaderCodec.Notice(r)
 	if class == WrongServer || class == Unverified {
-		return
+		return nil
 	}
-	s.Do(func(t eval.Context, d *admit.Controller) admit.Ops { return d.ApplyNotice(t, a.id, n) })
+	newlyLeaving := false
+	s.Do(func(t eval.Context, d *admit.Controller) admit.Ops {
+		var ops admit.Ops
+		ops, newlyLeaving = d.ApplyNotice(t, a.id, n)
+		return ops
+	})
 	if n.Limit.Unreadable {
-		events.Emit(s.config.Log, events.LimitUnread, "service", string(a.service), "attempt", string(a.id))
+		events.Emit(s.config.Log, events.LimitUnread, "backend-server", string(a.slot.backend), "service", string(a.service))
+	}
+	if !n.Leaving {
+		return nil
+	}
+	if newlyLeaving && s.config.OnLeaving != nil {
+		s.config.OnLeaving(a.slot.backend, a.slot.incarnation)
 	}
+	return &wire.Departure{BackendServer: string(a.slot.backend), Incarnation: uint64(a.slot.incarnation)}
 }
 
 // flush sends the frames that Gather has held back.
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -59,8 +59,10 @@
 	// the sending started.
 	startedAt atomic.Int64
 	deadline  time.Time
-	timer     clockwork.Timer
-	cancel    context.CancelCauseFunc
+	// slot is set when the attempt has a slot.
+	slot   slotResult
+	timer  clockwork.Timer
+	cancel context.CancelCauseFunc
 	// ingressGone reports that the ingress has closed the stream or does not read
 	// from it.
 	ingressGone atomic.Bool
@@ -97,6 +99,7 @@
 	if !granted {
 		return
 	}
+	a.slot = slot
 	s.track(a.id, slot.address)
 	defer s.untrack(a.id)
 	a.run(ctx, slot)
@@ -144,6 +147,7 @@
 			Mean: baseline.Mean, Spread: baseline.Spread, FailureRate: baseline.Failure, Weight: baseline.Weight,
 		})
 	}
+	s.restoreDepartures(t, a.head.Departed)
 	decision := s.config.Controller.Admit(t, admit.Attempt{
 		ID:          a.id,
 		Service:     a.service,
@@ -167,7 +171,7 @@
 	s.mutex.Unlock()
 	switch decision.Kind {
 	case admit.Granted:
-		return slotResult{granted: true, address: decision.Server.Address, backend: decision.Server.ID}, true
+		return grantedSlot(&decision.Server), true
 	case admit.Refused:
 		a.refuse(&wire.Refusal{
 			Reason: reasons[decision.Reason], Detail: decision.Reason.String(), PauseMs: decision.Pause.Milliseconds(),
--- a/internal/proxy/side/codec.go
+++ b/internal/proxy/side/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -67,9 +68,13 @@
 }
 
 // Notice reads "Figwick-Rate-Limit", the requests per second that the backend server
-// takes. It removes the field.
+// takes, and "Figwick-Leaving: 1". It removes both fields.
 func (NativeHeaders) Notice(r *http.Response) admit.Notice {
-	n := admit.Notice{Limit: ParseLimit(r.Header.Values(rateLimitHeader))}
+	n := admit.Notice{
+		Leaving: slices.Contains(r.Header.Values(leavingHeader), "1"),
+		Limit:   ParseLimit(r.Header.Values(rateLimitHeader)),
+	}
+	r.Header.Del(leavingHeader)
 	r.Header.Del(rateLimitHeader)
 	return n
 }
--- a/internal/proxy/side/codec_test.go
+++ b/internal/proxy/side/codec_test.go
@@ -44,7 +44,7 @@
 }
 
 func TestNativeNotice(t *testing.T) {
-	r := &http.Response{Header: http.Header{"Figwick-Rate-Limit": {"2"}, "Other": {"x"}}}
-	assert.DeepEqual(t, side.NativeHeaders{}.Notice(r), admit.Notice{Limit: admit.Limit{Named: true, PerSecond: 2}})
+	r := &http.Response{Header: http.Header{"Figwick-Leaving": {"1"}, "Figwick-Rate-Limit": {"2"}, "Other": {"x"}}}
+	assert.DeepEqual(t, side.NativeHeaders{}.Notice(r), admit.Notice{Leaving: true, Limit: admit.Limit{Named: true, PerSecond: 2}})
 	assert.DeepEqual(t, r.Header, http.Header{"Other": {"x"}})
 }
--- a/internal/proxy/side/server.go
+++ b/internal/proxy/side/server.go
@@ -14,9 +14,11 @@
 	"github.com/figwick/figwick/internal/base/events"
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/base/meter"
+	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/admit"
 	"github.com/figwick/figwick/internal/policy/health"
 	"github.com/figwick/figwick/internal/proxy/back"
+	"github.com/figwick/figwick/internal/state/roster"
 )
 
 type (
@@ -34,6 +36,9 @@
 		// HeaderCodec reads and writes the header fields that the sidecar and its
 		// backend servers exchange. Nil means NativeHeaders.
 		HeaderCodec HeaderCodec
+		// OnLeaving is called when a backend server first says in a response that it is
+		// leaving. It must not block. Nil disables it.
+		OnLeaving func(server ident.Backend, incarnation ident.Incarnation)
 		// Dial replaces the dialer for backend servers, in tests.
 		Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	}
@@ -59,10 +64,11 @@
 	// slotResult ends an attempt's wait for a slot: with a granted slot or with
 	// the reason for a refusal.
 	slotResult struct {
-		granted bool
-		address string
-		backend ident.Backend
-		reason  admit.Reason
+		granted     bool
+		address     string
+		backend     ident.Backend
+		incarnation ident.Incarnation
+		reason      admit.Reason
 	}
 )
 
@@ -132,13 +138,25 @@
 // held.
 func (s *Server) deliver(ops admit.Ops) {
 	for _, g := range ops.Grants {
-		s.wake(g.Attempt, slotResult{granted: true, address: g.Server.Address, backend: g.Server.ID})
+		s.wake(g.Attempt, grantedSlot(&g.Server))
 	}
 	for _, r := range ops.Refusals {
 		s.wake(r.Attempt, slotResult{reason: r.Reason})
 	}
 }
 
+// restoreDepartures closes the backend servers that have told an ingress that they leave.
+// This node may have forgotten it in a restart. The mutex must be held.
+func (s *Server) restoreDepartures(t eval.Context, departed []*wire.Departure) {
+	for _, d := range departed {
+		s.deliver(s.config.Controller.RestoreLeaving(t, ident.Backend(d.BackendServer), ident.Incarnation(d.Incarnation)))
+	}
+}
+
+func grantedSlot(a *roster.Announcement) slotResult {
+	return slotResult{granted: true, address: a.Address, backend: a.ID, incarnation: a.Incarnation}
+}
+
 // wake ends an attempt's wait, if it is waiting. The mutex must be held.
 func (s *Server) wake(id ident.Attempt, result slotResult) {
 	if ready, found := s.waiting[id]; found {
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -256,6 +256,17 @@
 	return Change{Server: e.Announcement, Gone: true}, true
 }
 
+// Drain marks a server as draining, as an announcement of this incarnation would, and
+// reports whether it is present and was not draining.
+func (r *Roster) Drain(id ident.Backend, incarnation ident.Incarnation) (Change, bool) {
+	e, known := r.servers[id]
+	if !known || e.gone || e.Incarnation != incarnation || e.State == Draining {
+		return Change{}, false
+	}
+	e.State = Draining
+	return Change{Server: e.Announcement}, true
+}
+
 // Leave marks a server as gone for good and reports whether it was present. It
 // ignores an incarnation lower than the known one.
 func (r *Roster) Leave(id ident.Backend, incarnation ident.Incarnation) (Change, bool) {
