node: an entry whose address cannot be dialed names no node

Tried: entries nested 100,000 deep, numbers of 65 bits, below zero and 1e400, other types, bytes that are no JSON. All were skipped and logged, and hid no other entry. But an address with a port out of range or no port at all, an empty host or an open bracket became a member: nobody reaches it, and until it is declared dead it may be chosen as a poller of its zone or counts in the retry budget.

--- a/internal/proxy/node/registration.go
+++ b/internal/proxy/node/registration.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -348,8 +350,21 @@
 	}
 }
 
+// checkAddress returns an error unless an address has a host and a port that can be dialed.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.Wrapf(err, "address %q", address)
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); host == "" || err != nil || number == 0 {
+		return errors.Newf("address %q is not a host and a port from 1 to 65535", address)
+	}
+	return nil
+}
+
 // discover reads the entries of all nodes and adds the other nodes to the fleet's
-// membership. It logs and skips entries that it can't decode.
+// membership. It logs and skips entries that it can't decode, or whose address can't
+// be dialed.
 func (e *registration) discover(ctx context.Context) error {
 	items, err := e.store.List(ctx, entryPrefix)
 	if err != nil {
@@ -360,7 +375,11 @@
 	for _, i := range items {
 		id := ident.Node(i.Key[len(entryPrefix):])
 		var l entryValue
-		if err := json.Unmarshal(i.Value, &l); err != nil || l.Address == "" {
+		err := json.Unmarshal(i.Value, &l)
+		if err == nil {
+			err = checkAddress(l.Address)
+		}
+		if err != nil {
 			events.Emit(e.node.log, events.EntryBroken, "key", i.Key, "error", err)
 			continue
 		}
