back: a request that must not repeat avoids connections with responses without an id

Cause: a refusal may lack the attempt's id, so it was taken for the refusal of whatever request waited on the connection, at once or 50 ms late. Weighed: closing each connection after such a refusal (a new connection for each, most of all while servers shed); not trusting a second refusal on a connection (true refusals end as unknown). Chosen: the connection is kept, for repeatable requests alone, which may run at a second server; they also prefer it, so that the others find one without.

--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,7 +60,20 @@
 	errHeadTooLarge     = errors.Newf("back: response headers have more than %d bytes", maxHeadBytes)
 )
 
+// The results of Config.Matches.
+const (
+	// Other responses belong to another request.
+	Other Match = iota
+	// Unidentified responses do not say to which request they belong.
+	Unidentified
+	// Own responses belong to the request.
+	Own
+)
+
 type (
+	// Match says whether a response belongs to a request.
+	Match int
+
 	// Config holds the settings of a Pool.
 	Config struct {
 		// Clock measures how long connections are idle.
@@ -67,7 +81,7 @@
 		// Dial opens connections, in tests. Nil selects TCP with timeouts.
 		Dial func(ctx context.Context, network, address string) (net.Conn, error)
 		// Matches reports whether a response belongs to a request. If nil, all do.
-		Matches func(request *http.Request, response *http.Response) bool
+		Matches func(request *http.Request, response *http.Response) Match
 	}
 
 	// Pool is an HTTP/1.1 client that keeps idle connections to backend servers.
@@ -82,6 +96,10 @@
 
 	// Options are the options of one request.
 	Options struct {
+		// Repeatable is set if the request may safely run more than once. The others get no
+		// connection on which an Unidentified response has come: the server may send that
+		// again, and it would be taken for the response to this request.
+		Repeatable bool
 		// OnInformational, if set, is called with each informational (1xx) response
 		// other than 101. An error from it ends the exchange.
 		OnInformational func(status int, h http.Header) error
@@ -102,6 +120,8 @@
 		readable    int
 		idleTimeout time.Duration
 		idleSince   time.Time
+		// unidentified is whether an Unidentified response has come.
+		unidentified bool
 	}
 
 	// body is the body of a response. It returns its connection to the pool when
@@ -127,7 +147,7 @@
 		config.Dial = (&net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUnackedTimeout}).DialContext
 	}
 	if config.Matches == nil {
-		config.Matches = func(*http.Request, *http.Response) bool { return true }
+		config.Matches = func(*http.Request, *http.Response) Match { return Own }
 	}
 	return &Pool{config: config, idle: map[string][]*conn{}}
 }
@@ -137,7 +157,7 @@
 // included. The caller must read the body to its end or close it. An error is
 // marked ErrUnsent if no byte of the request was sent.
 func (p *Pool) Do(ctx context.Context, address string, r *http.Request, o Options) (*http.Response, error) {
-	c, err := p.acquire(ctx, address)
+	c, err := p.acquire(ctx, address, o.Repeatable)
 	if err != nil {
 		return nil, err
 	}
@@ -190,9 +210,9 @@
 }
 
 // acquire returns a usable idle connection or a new one.
-func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, address string, repeatable bool) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, repeatable)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -204,15 +224,23 @@
 	}
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the idle connection that was used last. A repeatable request
+// prefers those that the others may not use.
+func (p *Pool) popIdle(address string, repeatable bool) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
+	best := -1
+	for i, c := range list {
+		if c.unidentified == repeatable || repeatable && (best < 0 || !list[best].unidentified) {
+			best = i
+		}
+	}
+	if best < 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	c := list[best]
+	p.idle[address] = slices.Delete(list, best, best+1)
 	return c
 }
 
@@ -273,8 +301,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if p.config.Matches(r, response) {
+		switch p.config.Matches(r, response) {
+		case Own:
+			return response, nil
+		case Unidentified:
+			c.unidentified = true
 			return response, nil
+		case Other:
 		}
 		// A server that sent one response too many may send more, so the
 		// connection is not reused.
--- a/internal/proxy/back/pool_test.go
+++ b/internal/proxy/back/pool_test.go
@@ -68,8 +68,11 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	f := &testServer{t: t, clock: clockwork.NewFakeClock(), address: l.Addr().String()}
-	f.pool = back.NewPool(back.Config{Clock: f.clock, Matches: func(r *http.Request, a *http.Response) bool {
-		return a.Header.Get(idHeader) == r.Header.Get(idHeader)
+	f.pool = back.NewPool(back.Config{Clock: f.clock, Matches: func(r *http.Request, a *http.Response) back.Match {
+		if a.Header.Get(idHeader) == r.Header.Get(idHeader) {
+			return back.Own
+		}
+		return back.Other
 	}})
 	t.Cleanup(func() {
 		f.pool.Close()
--- a/internal/proxy/side/codec.go
+++ b/internal/proxy/side/codec.go
@@ -9,6 +9,7 @@
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/admit"
+	"github.com/figwick/figwick/internal/proxy/back"
 )
 
 // The classes of a backend server's response.
@@ -46,7 +47,7 @@
 		// SetRequest adds the fields for the backend server to a request.
 		SetRequest(h http.Header, o RequestInfo)
 		// Matches reports whether a response belongs to a request.
-		Matches(request *http.Request, response *http.Response) bool
+		Matches(request *http.Request, response *http.Response) back.Match
 		// Notice returns what the backend server says of itself in a response. It may
 		// remove header fields that are meant for the sidecar.
 		Notice(response *http.Response) admit.Notice
@@ -63,8 +64,8 @@
 func (NativeHeaders) SetRequest(http.Header, RequestInfo) {}
 
 // Matches accepts every response.
-func (NativeHeaders) Matches(*http.Request, *http.Response) bool {
-	return true
+func (NativeHeaders) Matches(*http.Request, *http.Response) back.Match {
+	return back.Own
 }
 
 // Notice reads "Figwick-Rate-Limit", the requests per second that the backend server
