--- a/internal/fake/fleet/sockets.go
+++ b/internal/fake/fleet/sockets.go
@@ -88,3 +88,12 @@
 	}
 	return half.CloseWrite()
 }
+
+// SetLinger sets what Close does with data that has not been sent.
+func (c *conn) SetLinger(seconds int) error {
+	socket, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return net.ErrClosed
+	}
+	return socket.SetLinger(seconds)
+}
