node, member: a stopping node tells its neighbours alone, as before

Found by reading, no run was made with it.

What ends the stop, and TestStopEndsWhileAttemptsArrive, stay: the wait for attempts still on their way is bounded.

--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -260,23 +260,6 @@
 	return len(p.sessions)
 }
 
-// Addresses returns the addresses of the nodes to which there is a usable session.
-func (p *Pool) Addresses() []string {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	var addresses []string
-	for address, entry := range p.sessions {
-		select {
-		case <-entry.ready:
-			if entry.err == nil && !entry.session.IsClosed() {
-				addresses = append(addresses, address)
-			}
-		default:
-		}
-	}
-	return addresses
-}
-
 // findOrAdd returns the usable or pending session to an address. If there is none, it
 // adds a pending one and returns true: the caller must dial it.
 func (p *Pool) findOrAdd(address string) (*sessionEntry, bool) {
--- a/internal/proxy/node/fleet.go
+++ b/internal/proxy/node/fleet.go
@@ -280,17 +280,11 @@
 }
 
 // leave gossips that the node is leaving, or that it is gone. It waits until every
-// neighbour has answered or its exchange has failed, at most exchangeTimeout. A node that is
-// leaving also tells all nodes with which it has a session, without waiting for them.
+// neighbour has answered or its exchange has failed, at most exchangeTimeout.
 func (f *fleet) leave(ctx context.Context, gone bool) {
 	f.mutex.Lock()
 	f.group.Leave(f.node.turn(), gone)
 	exchanges := f.group.ExchangeAll(f.node.turn())
-	if !gone {
-		for _, address := range f.node.links.Addresses() {
-			go f.exchange(ctx, f.group.LeaveNotice(address))
-		}
-	}
 	f.mutex.Unlock()
 	var pending sync.WaitGroup
 	for _, e := range exchanges {
--- a/internal/state/member/group.go
+++ b/internal/state/member/group.go
@@ -73,8 +73,7 @@
 		// Digest is the exclusive or of the hashes of all records in the
 		// sender's view, except those of dead nodes.
 		Digest uint64
-		// RevisionOnly messages carry nothing but the revision and the era, and the
-		// sender's own record if it is leaving. Their answers carry no record.
+		// RevisionOnly messages carry nothing but the revision and the era.
 		RevisionOnly bool
 		// Records are the records that the receiver doesn't have yet, as far as
 		// the sender knows.
@@ -252,7 +251,8 @@
 // was unknown or dead gets a sample of the live nodes.
 func (g *Group) Receive(t eval.Context, m Message) Message {
 	if m.RevisionOnly {
-		g.merge(t.Now, m)
+		g.NoteStoreEra(m.StoreEra)
+		g.noteRevision(m)
 		return g.revisionMessage()
 	}
 	g.refillBudget(t.Now)
@@ -321,15 +321,6 @@
 	g.noteChange(t.Now, e, "")
 }
 
-// LeaveNotice returns an exchange that tells the node at an address of Leave. Gossip takes
-// many seconds to reach all nodes of a large fleet, and those that have a session with
-// this node may send it attempts at any time.
-func (g *Group) LeaveNotice(address string) Exchange {
-	m := g.revisionMessage()
-	m.Records = []Record{g.Self()}
-	return Exchange{Address: address, Message: m}
-}
-
 // SetService sets the service of this node's local backend server and how many
 // requests it processes at once, and reports whether either changed.
 func (g *Group) SetService(t eval.Context, service ident.Service, slots int) bool {
