node, admit: a server is reached while its stopping node waits for callers

Cause: 2.5 s after SIGTERM a node refuses all attempts, and then waits for its own callers, 1.5 s by the median, up to their deadlines. Nobody else reaches the server beside it meanwhile.

Now the node waits for its callers first, without the calls that the server makes itself, and closes its sidecar after that.

--- a/internal/policy/admit/controller.go
+++ b/internal/policy/admit/controller.go
@@ -173,7 +173,9 @@
 		leaving  bool
 		// stopBy is when the process ends, zero if it is not stopping.
 		stopBy time.Time
-		prior  health.Baseline
+		// finishing is set by WindDown.
+		finishing bool
+		prior     health.Baseline
 		// retryBudgetEnabled is set if retries are charged to a budget that the fleet
 		// shares.
 		retryBudgetEnabled bool
--- a/internal/policy/admit/stop.go
+++ b/internal/policy/admit/stop.go
@@ -19,12 +19,22 @@
 	c.stopBy = end
 }
 
+// WindDown tells the Controller that the process stops as soon as its other work is done. From
+// then on an attempt that must not repeat is admitted only if its deadline comes before
+// the end that StopBy has named: a cut would leave its outcome unknown.
+func (c *Controller) WindDown() {
+	c.finishing = true
+}
+
 // outlastsStop reports whether an attempt that starts now would probably still run
 // when the process ends.
 func (c *Controller) outlastsStop(t eval.Context, s *service, a *Attempt) bool {
 	if c.stopBy.IsZero() {
 		return false
 	}
+	if c.finishing && !a.Repeatable && a.Deadline.After(c.stopBy) {
+		return true
+	}
 	expected := max(a.Target, outlastMeans*s.queue.Load(t).Mean)
 	return t.Now.Add(expected).After(c.stopBy)
 }
--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -92,6 +92,10 @@
 	if !x.accept() {
 		return
 	}
+	if x.isLocalCall() {
+		x.server.nestedInFlight.Add(1)
+		defer x.server.nestedInFlight.Add(-1)
+	}
 	ctx, cancel := context.WithCancel(x.request.Context())
 	defer cancel()
 	x.body = newReplayableBody(x)
--- a/internal/proxy/front/server.go
+++ b/internal/proxy/front/server.go
@@ -112,6 +112,8 @@
 		config   Config
 		table    atomic.Pointer[config.Table]
 		inFlight atomic.Int64
+		// nestedInFlight counts those of inFlight for which isLocalCall holds.
+		nestedInFlight atomic.Int64
 		// stopBy is when the process ends. It is nil unless the node is stopping.
 		stopBy atomic.Pointer[time.Time]
 		// draining is set by Drain.
@@ -180,6 +182,12 @@
 	return int(s.inFlight.Load())
 }
 
+// CallersInFlight returns the number of requests that are being served, without those
+// that the backend server on this VM has made for requests of its own.
+func (s *Server) CallersInFlight() int {
+	return int(s.inFlight.Load() - s.nestedInFlight.Load())
+}
+
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.config.Meter.InFlight.Update(float64(s.inFlight.Add(1)))
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -155,6 +155,7 @@
 	n.state.Store(phaseHandingOver)
 	if n.config.StoreDiscovery {
 		n.delayShutdown(ctx)
+		n.awaitCallers(ctx, end.Add(-lastAcceptTime))
 	}
 	n.fleet.leave(ctx, false)
 	n.callerConns.Drain()
@@ -207,6 +208,18 @@
 	}
 }
 
+// awaitCallers waits until the node's own callers have their answers, at most until the given
+// time. The node cannot end before, and meanwhile its backend server still gets requests, as
+// far as these can end in time too: other nodes reach it through this one alone.
+func (n *Node) awaitCallers(ctx context.Context, until time.Time) {
+	ctx, done := context.WithDeadline(ctx, until)
+	defer done()
+	n.callerConns.Drain()
+	n.front.Drain()
+	n.side.WithController(func(_ eval.Context, d *admit.Controller) { d.WindDown() })
+	n.waitUntil(ctx, func() bool { return n.front.CallersInFlight() == 0 })
+}
+
 // awaitLocalAttempts waits until the backend server beside the node has finished its
 // attempts, at most until the given time. While it works on them, its own requests
 // come to this node.
