--- a/internal/policy/admit/dump.go
+++ b/internal/policy/admit/dump.go
@@ -67,6 +67,9 @@
 		Grade string `json:"grade"`
 		Busy  int    `json:"busy"`
 		Slots int    `json:"slots"`
+		// Limit is the rate in requests per second at which the server gets attempts because
+		// it has named a limit. Nil means that it has named none.
+		Limit *float64 `json:"limit,omitempty"`
 	}
 )
 
@@ -159,6 +162,11 @@
 		if !found {
 			continue
 		}
+		var limit *float64
+		if q.Quota.Named() {
+			perSecond := q.Quota.PerSecond()
+			limit = &perSecond
+		}
 		r.Servers = append(r.Servers, ServerReport{
 			Report:      healthOf[q.ID],
 			Address:     v.Address,
@@ -169,6 +177,7 @@
 			Grade:       q.Grade.String(),
 			Busy:        q.Busy,
 			Slots:       q.Slots,
+			Limit:       limit,
 		})
 	}
 	return r
--- a/internal/policy/admit/limit_test.go
+++ b/internal/policy/admit/limit_test.go
@@ -253,6 +253,7 @@
 	apply("old", admit.Limit{})
 	s.send("refused", true)
 	assert.Equal(t, len(s.arrivals), 2)
+	assert.Equal(t, *s.controller.Dump(s.turn()).Services[0].Servers[0].Limit, 1.0)
 	s.now = s.now.Add(time.Second)
 	s.send("next", true)
 	assert.Equal(t, len(s.arrivals), 3)
@@ -262,6 +263,7 @@
 	apply("next", admit.Limit{})
 	s.send("lifted", true)
 	assert.Equal(t, len(s.arrivals), 4)
+	assert.Check(t, s.controller.Dump(s.turn()).Services[0].Servers[0].Limit == nil)
 }
 
 // TestLeavingServerGetsNothing guards against requests to a server that has said in a response that it
