--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -152,8 +152,7 @@
 	}
 )
 
-// SetServer adds a server or replaces its settings; its busy slots and its
-// quota are kept.
+// SetServer adds a server or replaces its settings; its busy slots and its quota are kept.
 func (q *Queue) SetServer(t eval.Context, s Server) Outcome {
 	if known := q.server(s.ID); known != nil {
 		s.Busy, s.Quota = known.Busy, known.Quota
@@ -380,8 +379,7 @@
 	})
 	kept := q.waiting[:0]
 	for _, e := range q.waiting {
-		slots := q.slotsFor(t, e)
-		if slots == 0 || t.Now.Add(q.meanOf(e.Priority)).After(e.Deadline) || len(kept) > 0 && q.missesDeadline(t, e, q.workOf(kept), slots) || q.missesQuota(t, e, len(kept)) {
+		if q.comesTooLate(t, e, kept) {
 			out.Refused = append(out.Refused, e.Attempt)
 			continue
 		}
@@ -397,6 +395,16 @@
 	return out
 }
 
+// comesTooLate reports whether a waiting attempt has no chance to be answered in time if others
+// go before it.
+func (q *Queue) comesTooLate(t eval.Context, e Entry, before []Entry) bool {
+	slots := q.slotsFor(t, e)
+	if slots == 0 || t.Now.Add(q.meanOf(e.Priority)).After(e.Deadline) {
+		return true
+	}
+	return len(before) > 0 && q.missesDeadline(t, e, q.workOf(before), slots) || q.missesQuota(t, e, len(before))
+}
+
 // lateness returns 1 for an attempt whose response would miss its target, otherwise 0. A
 // nested call is never late: the target that counts is that of the request which depends
 // on it.
