link, node: a stopping node tells its peers to open no further streams

Cause: bounded the wait for attempts on their way to a stopping node. Where others go on sending, one can be on its way when the process ends, and its fate is unknown then. Waiting for silence before was meant to prevent that, and could not in a large fleet.

A node that has nothing left to do now says so on every session (GoAway) and accepts no new ones. Streams on their way are rejected; an ingress that sees a stream rejected before any frame knows that the attempt was not started, and tries another sidecar.

--- a/internal/peer/link/pool.go
+++ b/internal/peer/link/pool.go
@@ -88,6 +88,10 @@
 		closed   atomic.Bool
 		mutex    sync.Mutex
 		sessions map[string]*sessionEntry
+		// served holds all sessions whose streams are served.
+		served map[*yamux.Session]struct{}
+		// shutDown is set by Shutdown.
+		shutDown bool
 		clocks   map[string]*PeerClock
 	}
 
@@ -114,6 +118,7 @@
 		config:   config,
 		handler:  handler,
 		sessions: map[string]*sessionEntry{},
+		served:   map[*yamux.Session]struct{}{},
 		clocks:   map[string]*PeerClock{},
 	}
 }
@@ -167,6 +172,12 @@
 	return errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset)
 }
 
+// IsRejected reports whether the error of receiving the first message of a stream shows that the
+// peer has not taken the stream: it is shutting down, or has too many.
+func IsRejected(err error) bool {
+	return errors.Is(err, yamux.ErrConnectionReset)
+}
+
 // Close ends the exchange. It does not release the Conn: each owner of the Conn
 // releases it after its last use.
 func (s *Stream) Close() error {
@@ -196,6 +207,25 @@
 	}
 }
 
+// Shutdown makes the peers open no further streams to this node, and accepts no further
+// sessions. Streams that are on their way are rejected, see IsRejected. Those that are open
+// continue, and this node can still open streams. It does not wait for the peers.
+func (p *Pool) Shutdown() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.shutDown = true
+	for session := range p.served {
+		go func() { _ = session.GoAway() }()
+	}
+}
+
+// isShutDown reports whether Shutdown has been called.
+func (p *Pool) isShutDown() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.shutDown
+}
+
 // Close closes all sessions and thereby all open streams. A session that is still being
 // dialed is closed as soon as it is open.
 func (p *Pool) Close() {
@@ -303,6 +333,18 @@
 
 // serveStreams serves the streams that the peer opens until the session closes.
 func (p *Pool) serveStreams(ctx context.Context, session *yamux.Session, peer Peer) {
+	p.mutex.Lock()
+	p.served[session] = struct{}{}
+	shutDown := p.shutDown
+	p.mutex.Unlock()
+	defer func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		delete(p.served, session)
+	}()
+	if shutDown {
+		go func() { _ = session.GoAway() }()
+	}
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -121,6 +121,10 @@
 // acceptSession exchanges Hello messages on a connection that a peer dialed and then
 // serves the session until it closes.
 func (p *Pool) acceptSession(ctx context.Context, raw net.Conn) {
+	if p.isShutDown() {
+		_ = raw.Close()
+		return
+	}
 	if err := sock.DetectDeadPeer(raw); err != nil {
 		p.config.Log.Warn("setting TCP keep-alive and timeout failed", "peer", raw.RemoteAddr().String(), "error", err)
 	}
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/peer/link"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/retry"
 )
@@ -44,9 +45,15 @@
 			a.x.abortConnection(a, errStream)
 		}
 		frame, err := a.stream.Next()
+		if err != nil && !a.received && link.IsRejected(err) {
+			r := a.lost("send", err)
+			r.outcome = retry.Unreached
+			return r
+		}
 		if err != nil {
 			return a.streamFailed(errors.CombineErrors(errStream, err))
 		}
+		a.received = true
 		if r, ended := a.handleFrame(frame); ended {
 			return r
 		}
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -62,6 +62,8 @@
 		// reports the same to the receiving goroutine.
 		started    chan struct{}
 		hasStarted bool
+		// received reports that the sidecar has sent a frame.
+		received bool
 		// response is the backend server's response, once its header was
 		// received.
 		response *response
--- a/internal/proxy/node/handle.go
+++ b/internal/proxy/node/handle.go
@@ -29,7 +29,6 @@
 func (n *Node) dispatch(ctx context.Context, peer link.Peer, conn *wire.Conn, first wire.Frame) error {
 	switch first.Kind {
 	case wire.KindRequestHead:
-		n.arrivedAt.Store(n.config.Clock.Now().UnixNano())
 		return decodeAndHandle(first, first.Kind, func(m *wire.RequestHead) error {
 			n.side.HandleAttempt(ctx, conn, m)
 			return nil
--- a/internal/proxy/node/loops.go
+++ b/internal/proxy/node/loops.go
@@ -177,6 +177,11 @@
 		n.directory.tick(ctx)
 	}
 	_ = n.config.Listeners.Callers.Close()
+	n.waitUntil(ctx, func() bool {
+		n.callerConns.CloseIdle()
+		return n.idle()
+	})
+	n.links.Shutdown()
 	n.busyAt.Store(n.config.Clock.Now().UnixNano())
 	n.waitUntil(ctx, func() bool {
 		n.callerConns.CloseIdle()
@@ -269,9 +274,8 @@
 }
 
 // quiet reports whether the node has been idle for so long that the last responses
-// have been sent, and no attempt is still on its way here. Attempts of ingresses that have
-// not heard of the stop may come for long, and are all refused, so it does not wait for
-// more than twice that time for these.
+// have been sent, and the attempts that were still on their way here are rejected. Ingresses
+// that have not heard of the stop may send more for long, so it does not wait for silence.
 func (n *Node) quiet() bool {
 	now := n.config.Clock.Now()
 	if !n.idle() {
@@ -281,9 +285,7 @@
 	if n.config.StoreDiscovery {
 		quiet = regionQuietTime
 	}
-	idleFor := now.Sub(time.Unix(0, n.busyAt.Load()))
-	silentFor := now.Sub(time.Unix(0, n.arrivedAt.Load()))
-	return idleFor >= 2*quiet || idleFor >= quiet && silentFor >= quiet
+	return now.Sub(time.Unix(0, n.busyAt.Load())) >= quiet
 }
 
 const (
--- a/internal/proxy/node/node.go
+++ b/internal/proxy/node/node.go
@@ -168,9 +168,9 @@
 		callerConns *conns.Tracker
 		// relayed is the number of streams being relayed to other nodes.
 		relayed atomic.Int64
-		// busyAt is the last time at which the node was not idle, arrivedAt that at which
-		// an attempt arrived, whether or not it was refused. Both are in Unix nanoseconds.
-		busyAt, arrivedAt atomic.Int64
+		// busyAt is the last time at which the node was not idle, in Unix
+		// nanoseconds.
+		busyAt atomic.Int64
 		// state is one of the phases below.
 		state atomic.Int32
 		// stopping and aborting are closed by Stop and Abort.
--- a/internal/proxy/node/stop_arrivals_test.go
+++ b/internal/proxy/node/stop_arrivals_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +23,8 @@
 
 // TestStopEndsWhileAttemptsArrive guards against a stopping node that has finished all its work but runs on
 // until its drain timeout, because ingresses that have not heard of the stop still send it attempts. Nobody
-// reaches its backend server meanwhile; a server must not be without requests for two seconds.
+// reaches its backend server meanwhile; a server must not be without requests for two seconds. The fate of
+// every attempt is known: it is refused, or its ingress sees that it was not taken.
 func TestStopEndsWhileAttemptsArrive(t *testing.T) {
 	t.Parallel()
 	const (
@@ -53,18 +55,31 @@
 	}, func(context.Context, link.Peer, *wire.Conn, wire.Frame) {})
 	defer ingress.Close()
 	stopped := make(chan struct{})
+	var refused, unsent, cut atomic.Int64
 	send := func(i int) {
 		stream, err := ingress.Open(t.Context(), peers.Addr().String())
 		if err != nil {
+			unsent.Add(1)
 			return
 		}
 		defer stream.Release()
 		defer stream.Close()
-		_ = stream.Send(wire.KindRequestHead, &wire.RequestHead{
+		err = stream.Send(wire.KindRequestHead, &wire.RequestHead{
 			Attempt: fmt.Sprint(i), Service: "shop", Method: http.MethodGet, TimeoutMs: 1000,
 			Stamp: stream.PeerClock.Stamp(clock.Now(), time.Second),
 		})
-		_, _ = stream.Next()
+		if err != nil && link.IsUnsent(err) {
+			unsent.Add(1)
+			return
+		}
+		switch frame, err := stream.Next(); {
+		case err == nil && frame.Kind == wire.KindRefusal:
+			refused.Add(1)
+		case link.IsRejected(err):
+			unsent.Add(1)
+		default:
+			cut.Add(1)
+		}
 	}
 	var sending sync.WaitGroup
 	sending.Go(func() {
@@ -84,5 +99,7 @@
 	took := clock.Since(begin)
 	close(stopped)
 	sending.Wait()
+	assert.Check(t, refused.Load() > 0)
+	assert.Equal(t, cut.Load(), int64(0), "attempts of unknown fate; %d were refused, %d not sent", refused.Load(), unsent.Load())
 	assert.Check(t, took < shutdownDelay+maxUnreached, "the node ended after %s", took)
 }
