review: case 4, an answer without a length that never ends

Cause: once a part of an answer is passed on, nothing but 30 s without a byte ends it, whatever the route's timeout.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the deploy file's command, then review/build.sh" >&2
   exit 2
 }
-exec target/review/stand silent review/3
+exec target/review/stand silent review/4
