front: a stopping node accepts only what can end before it does

Cause: late in a stop the ingress accepted a request if twice its route's target latency was left, and cut its deadline to the end of the process. The target says what most requests need, not what this one may take.

Now: once callers have had time to notice the stop, a request is accepted only if its whole deadline fits, and refused at once otherwise. The stop ends no attempt whose deadline comes first. outcome-unknown and failure-passed say whether a stop has cut the deadline (cut-by-stop), which the logs could not tell.

Test changed: TestStopRefusesRequestsThatWouldBeCut expected a request with a deadline of 5 s to be accepted when 2.75 s were left, since that is twice the target; this is the fault. The case now requires a refusal, and new ones give the deadline: one that fits is accepted, one that nearly fits is not.

The sidecar has compared deadlines before, for what must not repeat; what may be repeated is made again at another sidecar if the stop cuts it.

--- a/internal/proxy/front/exchange.go
+++ b/internal/proxy/front/exchange.go
@@ -134,7 +134,7 @@
 		}
 		x.noBackend = result.noBackend
 		step := x.nextStep(result.outcome)
-		stopping := x.stopSignal().Err() != nil || !x.now().Before(x.startBy())
+		stopping := x.isStopped() || !x.now().Before(x.startBy())
 		if step != retry.TryAgain || stopping || !x.body.rewind() {
 			x.respond(x.finalStep(step))
 			return
@@ -308,7 +308,7 @@
 	events.Emit(x.server.config.Log, events.FailurePassed, "request", x.options.ID, "service", x.service(),
 		"status", failure.head.Status, "attempts", x.plan.Attempts(), "refused", x.plan.Refused(),
 		"most", x.plan.MaxAttempts, "reason", reason, "last", x.lastFailure.detail, "peer", x.lastFailure.peer,
-		"took", x.now().Sub(x.arrived).String())
+		"took", x.now().Sub(x.arrived).String(), "cut-by-stop", x.isCutByStop())
 }
 
 // abandon ends the exchange of a caller that has disconnected. The response is
--- a/internal/proxy/front/problem.go
+++ b/internal/proxy/front/problem.go
@@ -65,7 +65,8 @@
 	x.server.config.Meter.Unknown.Inc(1)
 	events.Emit(x.server.config.Log, events.OutcomeUnknown, "request", x.options.ID, "service", x.service(),
 		"step", step, "peer", peer, "detail", detail, "method", x.request.Method, "host", x.request.Host,
-		"attempts", x.plan.Attempts(), "waited", x.now().Sub(x.arrived).String(), "repeatable", x.repeatable)
+		"attempts", x.plan.Attempts(), "waited", x.now().Sub(x.arrived).String(), "repeatable", x.repeatable,
+		"cut-by-stop", x.isCutByStop())
 	status := http.StatusBadGateway
 	if !x.server.config.Clock.Now().Before(x.deadline) && !x.deadline.IsZero() {
 		status = http.StatusGatewayTimeout
--- a/internal/proxy/front/stop.go
+++ b/internal/proxy/front/stop.go
@@ -18,10 +18,6 @@
 	// stopAnswerTime is how long before the process ends every request still in
 	// flight is answered.
 	stopAnswerTime = 150 * time.Millisecond
-	// drainLatencies is how many times the expected latency must be left for a request
-	// that arrives while the node drains. It is more than the latency that most requests
-	// have, since its attempt would otherwise be cut off.
-	drainLatencies = 2
 )
 
 // errStopping is the cause that cancels an attempt because this process ends.
@@ -63,8 +59,13 @@
 	s.draining.Store(true)
 }
 
-// refuseOutlasting refuses a request that would probably still run when the process
-// ends, and reports whether it did. Another node can take it while there is time.
+// refuseOutlasting refuses a request that may still run when the process ends, and reports
+// whether it did. Another node can take it while there is time.
+//
+// Until callers have had time to notice the stop, a request is refused only if most requests
+// would take longer than the time left: its caller has no other node yet. After that
+// each request that is accepted must have its whole time, since one that is cut off has an
+// unknown outcome.
 func (x *exchange) refuseOutlasting() bool {
 	end := x.server.stopBy.Load()
 	if end == nil {
@@ -72,7 +73,7 @@
 	}
 	needed := x.expectedLatency()
 	if x.server.draining.Load() {
-		needed *= drainLatencies
+		needed = x.deadline.Sub(x.arrived)
 	}
 	left := end.Add(-stopAnswerTime).Sub(x.arrived)
 	if left > needed {
@@ -107,19 +108,23 @@
 	return x.deadline
 }
 
-// startBy returns the time by which an attempt must be started: so early before the
-// process ends that most requests are answered until then, or the request's deadline.
+// startBy returns the time by which an attempt must be started: the request's deadline. If
+// the process ends before, it is so early that most requests are answered until then.
 func (x *exchange) startBy() time.Time {
-	if end := x.server.stopBy.Load(); end != nil {
-		if last := end.Add(-stopAnswerTime - x.expectedLatency()); last.Before(x.deadline) {
-			return last
-		}
+	if x.isCutByStop() {
+		return x.answerBy().Add(-x.expectedLatency())
 	}
 	return x.deadline
 }
 
-// stopSignal returns the context that is canceled when the request's attempts must
-// end because the process does.
+// isCutByStop reports whether the process ends before the request's deadline, so that its
+// attempts have less time than the caller allows.
+func (x *exchange) isCutByStop() bool {
+	return x.answerBy().Before(x.deadline)
+}
+
+// stopSignal returns the context that is canceled when the attempts of a request that
+// isCutByStop must end.
 func (x *exchange) stopSignal() context.Context {
 	if x.repeatable {
 		return x.server.stopper.cut
@@ -127,8 +132,15 @@
 	return x.server.stopper.fence
 }
 
+// isStopped reports whether the request must end now because the process does.
+func (x *exchange) isStopped() bool {
+	return x.isCutByStop() && x.stopSignal().Err() != nil
+}
+
 // onStop ends an attempt of whose response the caller has received nothing when the
-// process is about to end.
+// process is about to end. An attempt whose deadline comes before is left alone.
 func (a *attempt) onStop() {
-	a.end(errStopping)
+	if a.x.isCutByStop() {
+		a.end(errStopping)
+	}
 }
--- a/internal/proxy/front/stop_test.go
+++ b/internal/proxy/front/stop_test.go
@@ -82,37 +82,46 @@
 }
 
 // TestStopRefusesRequestsThatWouldBeCut guards against requests that are passed on late in a
-// graceful stop and cut off while a backend server works on them.
+// graceful stop and cut off, before their deadline, while a backend server works on them.
 func TestStopRefusesRequestsThatWouldBeCut(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		after    time.Duration
 		draining bool
+		deadline time.Duration
 		accepted bool
 	}{
-		{"at the start of the stop", 0, false, true},
-		{"while callers notice the stop", 2 * time.Second, false, true},
-		{"with less than the target left", 4300 * time.Millisecond, false, false},
-		{"draining, with room for a slow request", 2600 * time.Millisecond, true, true},
-		{"draining, with room for the target only", 3500 * time.Millisecond, true, false},
-		{"draining, at the end", stopGrace, true, false},
+		{"at the start of the stop", 0, false, 5 * time.Second, true},
+		{"while callers notice the stop", 2 * time.Second, false, 5 * time.Second, true},
+		{"with less than the target left", 4300 * time.Millisecond, false, 5 * time.Second, false},
+		{"draining, with room for the whole deadline", 2600 * time.Millisecond, true, 2500 * time.Millisecond, true},
+		{"draining, with room for twice the target", 2600 * time.Millisecond, true, 5 * time.Second, false},
+		{"draining, with room for a little less than the deadline", 2900 * time.Millisecond, true, 2500 * time.Millisecond, false},
+		{"draining, with room for the target only", 3500 * time.Millisecond, true, 5 * time.Second, false},
+		{"draining, with room for a short deadline only", 4500 * time.Millisecond, true, 500 * time.Millisecond, true},
+		{"draining, at the end", stopGrace, true, 500 * time.Millisecond, false},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			clock := clockwork.NewFakeClock()
-			s, opener := newStopServer(clock)
-			s.StopBy(t.Context(), clock.Now().Add(stopGrace))
-			clock.Advance(c.after)
-			if c.draining {
-				s.Drain()
-			}
-			w := httptest.NewRecorder()
-			s.ServeHTTP(w, newOrder())
-			assert.Equal(t, opener.opened > 0, c.accepted, "streams opened: %d", opener.opened)
-			if !c.accepted {
-				assert.Equal(t, w.Code, http.StatusServiceUnavailable)
-				assert.Check(t, w.Header().Get("Retry-After") != "")
-			}
-		})
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			t.Run(c.name+", "+method, func(t *testing.T) {
+				clock := clockwork.NewFakeClock()
+				s, opener := newStopServer(clock)
+				s.StopBy(t.Context(), clock.Now().Add(stopGrace))
+				clock.Advance(c.after)
+				if c.draining {
+					s.Drain()
+				}
+				r := newOrder()
+				r.Method = method
+				r.Header.Set(front.TimeoutHeader, c.deadline.String())
+				w := httptest.NewRecorder()
+				s.ServeHTTP(w, r)
+				assert.Equal(t, opener.opened > 0, c.accepted, "streams opened: %d", opener.opened)
+				if !c.accepted {
+					assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+					assert.Check(t, w.Header().Get("Retry-After") != "")
+				}
+			})
+		}
 	}
 }
 
