back: no connection gets two attempts at one request

Cause: all attempts at a request bear its id. A backend server refused the first attempt, and the second one got the same connection. There the server sent its refusal once more, late, and ran the order. The pool took the copy, which has the right id, for the response to the second attempt; the sidecar reverted the start in its fence table, and the ingress told the caller.

Now: a connection remembers the requests that it has carried, until a second after their deadlines, and is not used for another attempt at one of them. A copy that comes later meets a request with another id and is skipped, whatever its status. With more than 512 such requests a connection is not reused, so that none is forgotten. Closing each connection after a refusal would cost a new one for each refusal of a server that sheds load, and would leave late failures and successes; the id on the wire is the caller's, so attempts cannot have ids of their own.

--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -48,7 +48,13 @@
 	// maxHeadBytes bounds the header of a response, together with the informational
 	// responses before it. A larger one does not fit into a message to another node.
 	maxHeadBytes = wire.MaxHeadBytes
-	unlimited    = math.MaxInt
+	// lateAttemptTime is how long after its deadline a request's last attempt may begin,
+	// because it was long on its way to this node.
+	lateAttemptTime = time.Second
+	// maxCarried is the number of requests that a connection remembers. One that has carried
+	// more within their deadlines is not reused.
+	maxCarried = 512
+	unlimited  = math.MaxInt
 )
 
 var (
@@ -100,6 +106,13 @@
 		// connection on which an Unidentified response has come: the server may send that
 		// again, and it would be taken for the response to this request.
 		Repeatable bool
+		// Request identifies the request of which this is an attempt, as far as responses do. No
+		// two attempts at a request get the same connection: a response to the first that the
+		// server sends once more would be taken for the response to the second. Empty
+		// means that the request has no other attempts.
+		Request string
+		// Deadline is the request's deadline. Its attempts begin before.
+		Deadline time.Time
 		// OnInformational, if set, is called with each informational (1xx) response
 		// other than 101. An error from it ends the exchange.
 		OnInformational func(status int, h http.Header) error
@@ -122,6 +135,15 @@
 		idleSince   time.Time
 		// unidentified is whether an Unidentified response has come.
 		unidentified bool
+		// carried holds the requests of which the connection has had an attempt and that may
+		// have further ones.
+		carried []carriedRequest
+	}
+
+	// carriedRequest is a request that has no further attempts after a time.
+	carriedRequest struct {
+		id    string
+		until time.Time
 	}
 
 	// body is the body of a response. It returns its connection to the pool when
@@ -157,7 +179,7 @@
 // included. The caller must read the body to its end or close it. An error is
 // marked ErrUnsent if no byte of the request was sent.
 func (p *Pool) Do(ctx context.Context, address string, r *http.Request, o Options) (*http.Response, error) {
-	c, err := p.acquire(ctx, address, o.Repeatable)
+	c, err := p.acquire(ctx, address, o)
 	if err != nil {
 		return nil, err
 	}
@@ -210,29 +232,38 @@
 }
 
 // acquire returns a usable idle connection or a new one.
-func (p *Pool) acquire(ctx context.Context, address string, repeatable bool) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, address string, o Options) (*conn, error) {
 	for {
-		c := p.popIdle(address, repeatable)
+		c := p.popIdle(address, o)
 		if c == nil {
-			return p.dial(ctx, address)
+			var err error
+			if c, err = p.dial(ctx, address); err != nil {
+				return nil, err
+			}
+			c.carry(p.config.Clock.Now(), o)
+			return c, nil
 		}
 		if p.config.Clock.Since(c.idleSince) < c.idleTimeout && c.usable() {
 			c.bytesWritten = 0
+			c.carry(p.config.Clock.Now(), o)
 			return c, nil
 		}
 		_ = c.Close()
 	}
 }
 
-// popIdle removes and returns the idle connection that was used last. A repeatable request
-// prefers those that the others may not use.
-func (p *Pool) popIdle(address string, repeatable bool) *conn {
+// popIdle removes and returns the idle connection that was used last and has carried no
+// attempt at the same request. A repeatable request prefers those that the others may not use.
+func (p *Pool) popIdle(address string, o Options) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[address]
 	best := -1
 	for i, c := range list {
-		if c.unidentified == repeatable || repeatable && (best < 0 || !list[best].unidentified) {
+		if c.hasCarried(o.Request) {
+			continue
+		}
+		if c.unidentified == o.Repeatable || o.Repeatable && (best < 0 || !list[best].unidentified) {
 			best = i
 		}
 	}
@@ -269,6 +300,20 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// carry notes that the connection gets an attempt at a request, and forgets the requests
+// that have no further attempts.
+func (c *conn) carry(now time.Time, o Options) {
+	c.carried = slices.DeleteFunc(c.carried, func(r carriedRequest) bool { return !now.Before(r.until) })
+	if o.Request != "" {
+		c.carried = append(c.carried, carriedRequest{id: o.Request, until: o.Deadline.Add(lateAttemptTime)})
+	}
+}
+
+// hasCarried reports whether the connection has had an attempt at a request.
+func (c *conn) hasCarried(request string) bool {
+	return request != "" && slices.ContainsFunc(c.carried, func(r carriedRequest) bool { return r.id == request })
+}
+
 // send writes the request and returns a channel that receives the result. A request
 // with a body is written by a goroutine of its own, since the response may arrive
 // before the whole body is sent.
@@ -364,7 +409,7 @@
 		c.idleTimeout = time.Duration(float64(timeout) * idleTimeoutShare)
 	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return !response.Close && framed && c.idleTimeout > 0
+	return !response.Close && framed && c.idleTimeout > 0 && len(c.carried) < maxCarried
 }
 
 // keepAlive returns the timeout parameter of a Keep-Alive header.
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -205,7 +205,9 @@
 	if !a.body.complete() {
 		_ = a.send(wire.KindStarted, &wire.Started{BackendServer: string(slot.backend)})
 	}
-	response, err := a.server.pool.Do(ctx, slot.address, a.request(ctx, slot), back.Options{Repeatable: a.head.Repeatable, OnInformational: a.informational})
+	response, err := a.server.pool.Do(ctx, slot.address, a.request(ctx, slot), back.Options{
+		Repeatable: a.head.Repeatable, Request: string(a.head.Request), Deadline: a.deadline, OnInformational: a.informational,
+	})
 	a.serviceTime = a.server.config.Clock.Since(time.Unix(0, a.startedAt.Load()))
 	if err != nil {
 		a.noResponse(ctx, err)
