front, side, config: an answer of a host's route ends at its deadline

The backend server had fallen silent within the answer.

Cause: the ingress ends an attempt at its deadline only while the caller has received nothing, and an answer without a length is passed on after a pause of 50 ms. The sidecar stops its deadline timer with the head, and then allows 30 s without a byte. That is documented for the deadlines of services, which are for the head of an answer, so that downloads may go on. The deadlines of a host's routes are the longest time that a caller is kept waiting; the code did not tell them apart.

Now: a match says whether its deadline is for the whole answer. If so, the ingress ends the attempt then also within an answer, silent or flowing, with or without a length, and closes the caller's connection so that the answer does not look whole. A write to a caller that does not read ends then too. An answer whose end has come is still sent on, also late.

The slot: a sidecar ends an attempt that must not repeat at its deadline if its ingress has gone; it went on for up to 30 s. And it allows a server to be silent until the deadline, where that is more than 30 s away.

answer-cut names the request, its time and the cause; an attempt that ends at its deadline no longer counts against the path to its sidecar.

Evidence: on all 24 cases of TestAnswerWithoutEndEndsAtDeadline fail (no end after 10 s), TestAnswerWithoutEndToHTTP10 and TestCallerThatDoesNotReadEndsAtDeadline too; all pass now.

--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -18,7 +18,8 @@
 	// maxHeldBytes is how much of a response is held back before the first byte
 	// is sent to the caller. Up to there another attempt can still replace it.
 	maxHeldBytes = 64 << 10
-	// callerWriteTimeout bounds one write to the caller.
+	// callerWriteTimeout bounds one write to the caller. A part of a response that must be whole by
+	// its deadline has until then only.
 	callerWriteTimeout = time.Minute
 )
 
@@ -34,6 +35,9 @@
 	head    *wire.ResponseHead
 	held    []byte
 	control *http.ResponseController
+	// whole reports that the end of the response has been received. It is sent to the caller also
+	// after its deadline.
+	whole bool
 	// trailers are set only on a response that is kept as a fallback.
 	trailers []*wire.Header
 }
@@ -179,10 +183,7 @@
 // connection.
 func (a *attempt) streamFailed(err error) result {
 	if a.response != nil && a.x.committed {
-		a.x.server.withService(a.x.match.Entry.Name, func(t eval.Context, svc *service) {
-			svc.picker.Unreachable(t, a.sidecar.Address)
-		})
-		a.x.abortConnection(a, err)
+		a.x.abortConnection(a, a.recordLost(err))
 	}
 	if readErr := a.x.body.readError(); readErr != nil {
 		return a.bodyFailed(readErr)
@@ -218,8 +219,8 @@
 // http.ErrAbortHandler. Once a part of a response was sent, this is the only way
 // to show the caller that the response is incomplete.
 func (x *exchange) abortConnection(a *attempt, err error) {
-	events.Emit(x.server.config.Log, events.AnswerCut,
-		"service", string(x.match.Entry.Name), "peer", a.sidecar.Address, "error", err)
+	events.Emit(x.server.config.Log, events.AnswerCut, "request", x.options.ID,
+		"waited", x.now().Sub(x.arrived).String(), "service", string(x.match.Entry.Name), "peer", a.sidecar.Address, "error", err)
 	x.server.config.Meter.Unknown.Inc(1)
 	panic(http.ErrAbortHandler)
 }
@@ -259,7 +260,11 @@
 	if a.stream.WaitForFrame(flushDelay) || !a.beginPassing() {
 		return true
 	}
-	return r.commit() == nil && r.control.Flush() == nil
+	if r.commit() != nil {
+		return false
+	}
+	r.boundWrite()
+	return r.control.Flush() == nil
 }
 
 // flushDelay is how long a response of unknown length is held for more data.
@@ -328,7 +333,7 @@
 }
 
 func (r *response) write(p []byte) error {
-	_ = r.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	r.boundWrite()
 	_, err := r.x.writer.Write(p)
 	if err != nil {
 		return errors.Wrap(err, "front: write to the caller")
@@ -339,13 +344,24 @@
 	return nil
 }
 
+// boundWrite sets the deadline of the next write to the caller.
+func (r *response) boundWrite() {
+	timeout := callerWriteTimeout
+	if r.x.match.WholeInTime && !r.whole {
+		timeout = min(timeout, r.x.deadline.Sub(r.x.now()))
+	}
+	_ = r.control.SetWriteDeadline(time.Now().Add(timeout))
+}
+
 // finish stores the response under the request's idempotency key, then sends the
 // rest of it and the trailers.
 func (r *response) finish(trailers []*wire.Header) error {
 	r.x.storeAnswer(r)
+	r.whole = true
 	if err := r.commit(); err != nil {
 		return err
 	}
+	r.boundWrite()
 	h := r.x.writer.Header()
 	for _, field := range trailers {
 		name := field.Name
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -259,10 +259,13 @@
 	}
 }
 
-// onDeadline ends an attempt of whose response the caller has received nothing by
-// the deadline. Once a part was passed on, the sidecar watches the rest of the body.
+// onDeadline ends an attempt at the deadline. An attempt that passes a response on then goes on if
+// the deadline is only for the head: the sidecar watches the rest of the body.
 func (a *attempt) onDeadline() {
 	a.end(context.DeadlineExceeded)
+	if a.x.match.WholeInTime {
+		a.cancel(context.DeadlineExceeded)
+	}
 }
 
 // end ends an attempt that is open, for the given cause.
@@ -301,10 +304,15 @@
 	}
 }
 
-// lost ends an attempt that may or may not have been run. The path counts as
-// failed unless the attempt was canceled, its caller's body failed, its deadline
-// passed or another attempt won.
+// lost ends an attempt that may or may not have been run.
 func (a *attempt) lost(step string, err error) result {
+	return a.failed(retry.Lost, step, a.recordLost(err))
+}
+
+// recordLost records for the picker that an attempt has no whole response, and returns the cause. The
+// path counts as failed unless the attempt was canceled, its caller's body failed, its deadline
+// passed or another attempt won.
+func (a *attempt) recordLost(err error) error {
 	if cause := context.Cause(a.ctx); cause != nil {
 		err = cause
 	}
@@ -323,7 +331,7 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = errors.New("no answer within the deadline")
 	}
-	return a.failed(retry.Lost, step, err)
+	return err
 }
 
 func (a *attempt) failed(outcome retry.Outcome, step string, err error) result {
--- a/internal/proxy/side/answer.go
+++ b/internal/proxy/side/answer.go
@@ -22,7 +22,7 @@
 
 const (
 	// stallTimeout bounds how long a backend server may send no byte of a
-	// response body.
+	// response body. It has until the request's deadline at least.
 	stallTimeout = 30 * time.Second
 
 	// gatherBytes is the largest response body that is sent in one write together
@@ -85,7 +85,8 @@
 	k := &keptAnswer{head: head, discarded: a.head.Repeatable}
 	if err := a.copyBody(r, k); err != nil {
 		o := health.Failed
-		if errors.Is(err, errIngressGone) || errors.Is(context.Cause(ctx), errIngressGone) {
+		cause := context.Cause(ctx)
+		if errors.Is(err, errIngressGone) || errors.Is(cause, errIngressGone) || errors.Is(cause, errDeadline) && a.ingressGone.Load() {
 			o = health.Canceled
 		}
 		a.finish(o, nil)
@@ -158,7 +159,7 @@
 		return nil
 	}
 	for {
-		a.timer.Reset(stallTimeout)
+		a.timer.Reset(max(stallTimeout, a.deadline.Sub(a.server.config.Clock.Now())))
 		buffer := a.conn.BodyBuffer()
 		n, err := r.Body.Read(buffer)
 		a.timer.Stop()
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -60,8 +60,10 @@
 	startedAt atomic.Int64
 	deadline  time.Time
 	// slot is set when the attempt has a slot.
-	slot   slotResult
-	timer  clockwork.Timer
+	slot  slotResult
+	timer clockwork.Timer
+	// ctx ends with the attempt.
+	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// ingressGone reports that the ingress has closed the stream or does not read
 	// from it.
@@ -89,6 +91,7 @@
 		return
 	}
 	ctx, a.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
+	a.ctx = ctx
 	defer a.cancel(nil)
 	a.body = newRequestBody(conn, head.ContentLength == 0, a.ingressLost)
 	a.body.onAcknowledged = func() { s.Release(a.id) }
@@ -122,8 +125,9 @@
 }
 
 // ingressLost notes that the ingress has closed the stream. A repeatable attempt
-// is canceled. One that must not repeat continues, so that a fence can tell how
-// it ended.
+// is canceled. One that must not repeat continues until its deadline, so that a fence can
+// tell how it ended. After the deadline no fence asks, and a backend server that
+// never ends its response would keep the slot.
 func (a *attempt) ingressLost() {
 	a.ingressGone.Store(true)
 	a.server.Do(func(_ eval.Context, d *admit.Controller) admit.Ops {
@@ -133,7 +137,11 @@
 	a.server.stopWaiting(a.id)
 	if a.head.Repeatable {
 		a.cancel(errIngressGone)
+		return
 	}
+	clock := a.server.config.Clock
+	ended := clock.AfterFunc(max(0, a.deadline.Sub(clock.Now())), func() { a.cancel(errDeadline) })
+	context.AfterFunc(a.ctx, func() { ended.Stop() })
 }
 
 // wait requests a slot and waits until it is granted or refused. It sends a
--- a/internal/state/config/file.go
+++ b/internal/state/config/file.go
@@ -41,7 +41,7 @@
 		// Slots is the maximum number of concurrent requests at one backend
 		// server.
 		Slots int `yaml:"slots" json:"slots"`
-		// Deadline bounds the time from a request's arrival to the end of its
+		// Deadline bounds the time from a request's arrival to the head of its
 		// response.
 		Deadline        time.Duration `yaml:"deadline" json:"deadline"`
 		MaxRequestBytes int64         `yaml:"max-request-bytes" json:"max-request-bytes"`
--- a/internal/state/config/host.go
+++ b/internal/state/config/host.go
@@ -38,7 +38,7 @@
 		// TargetLatency is the latency that responses should stay within. A later
 		// response is still delivered, up to Deadline.
 		TargetLatency time.Duration `yaml:"target-latency" json:"target-latency"`
-		// Deadline is the longest time that a caller waits for the response.
+		// Deadline is the longest time that a caller waits for the end of the response.
 		Deadline time.Duration `yaml:"deadline" json:"deadline"`
 		// Attempts is the maximum number of backend servers that one request is
 		// sent to.
--- a/internal/state/config/table.go
+++ b/internal/state/config/table.go
@@ -59,7 +59,10 @@
 		Entry *Entry
 		// Repeatable reports whether the request may be run more than once.
 		Repeatable bool
-		Deadline   time.Duration
+		// Deadline is the time from the request's arrival to the head of its response.
+		Deadline time.Duration
+		// WholeInTime makes Deadline the time to the end of the response.
+		WholeInTime bool
 		// TargetLatency is the latency that the response should stay within. 0
 		// means that none is set.
 		TargetLatency time.Duration
@@ -215,7 +218,7 @@
 		return Match{}, false
 	}
 	m := Match{
-		Table: t, Entry: e, Repeatable: r.Repeatable, Deadline: r.Deadline, TargetLatency: r.TargetLatency,
+		Table: t, Entry: e, Repeatable: r.Repeatable, Deadline: r.Deadline, WholeInTime: true, TargetLatency: r.TargetLatency,
 		HedgeAfter: time.Duration(hedgeFraction * float64(r.TargetLatency)),
 		Priority:   r.Priority, Attempts: r.Attempts, MaxBodyBytes: e.MaxRequestBytes,
 		Route: cmp.Or(r.Name, r.Prefix),
