node, platform: a node whose store connections went silent reads again in time

What callers saw, in a test only: 404 for a request on a new route, three seconds after the connections to the store had gone silent for good and more than two after the change of the configuration.

Cause: a watch waits for 2 s, its client one more second, and the node paused for another second after the failure before it read the configuration. A read on an idle connection, silent too, took another second. In a fleet other nodes watch at other moments and hide it.

--- a/internal/proxy/node/follower.go
+++ b/internal/proxy/node/follower.go
@@ -16,8 +16,9 @@
 const (
 	// pollWait bounds one watch call. A watch that the store has silently dropped
 	// looks like one without a change, so this also bounds how late a change is
-	// seen then.
-	pollWait = 2 * time.Second
+	// seen then. On a connection that has gone silent the client waits a second longer; three
+	// seconds after that a node must act on the newest configuration again.
+	pollWait = 1500 * time.Millisecond
 	// pollerInterval is how often a node that is not a poller checks whether it
 	// has become one.
 	pollerInterval = 500 * time.Millisecond
@@ -33,7 +34,7 @@
 	// behindAfter is how long a node that knows of a newer configuration tries to
 	// fetch it from peers before it polls the store itself.
 	behindAfter = 700 * time.Millisecond
-	// watchRetryDelay is the wait after a failed watch.
+	// watchRetryDelay is the wait after a failed read.
 	watchRetryDelay = time.Second
 	// watchDelay is the wait after a watch that returned a configuration. It keeps
 	// the number of store calls low when configurations follow each other quickly.
@@ -81,10 +82,12 @@
 			s.pause(calls, watchDelay)
 		case errors.Is(err, store.ErrUnchanged):
 			// Without a pause, next watches the key again.
-		default:
-			// The store may have dropped the watch together with its history, so the
-			// next call reads the configuration instead.
+		case !version.IsZero():
+			// The store may have dropped the watch together with its history, or its
+			// connection has been silent for the whole wait. The next call reads the configuration
+			// instead, at once: it may have changed when the watch began.
 			version = store.Version{}
+		default:
 			s.pause(calls, watchRetryDelay)
 		}
 	}
