side: an attempt whose ingress has left closes its stream

Cause: an ingress that has given an answer up closes its side of the stream and reads no more. The sidecar's write then waits for the window to open. Canceling the attempt closed the connection to the backend server, but not the stream, so the write went on waiting for the five minutes after which yamux ends a stream that is closed on one side. For as long, the slot stayed taken and the ingress kept up to a window of the answer.

Now: the sidecar closes the stream when the ingress has closed it. The write fails, the attempt ends, and the ingress drops what it holds.

Evidence: TestEndlessAnswerLeavesNothingBehind fails before (an attempt still held 5 s after the deadline, both cases) and passes now.

--- a/internal/proxy/node/endless_answer_test.go
+++ b/internal/proxy/node/endless_answer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/figwick/figwick/internal/fake/fleet"
 	"github.com/figwick/figwick/internal/fake/server"
@@ -160,3 +161,32 @@
 	assert.Check(t, errors.Is(err, syscall.ECONNRESET), "%d bytes end with %v", n, err)
 	assert.Check(t, time.Since(sent) < wholeDeadline+answerSlack, "the response ended after %s", time.Since(sent))
 }
+
+// TestEndlessAnswerLeavesNothingBehind guards against a sidecar that waits for minutes to send more of a response
+// without end after its ingress has left: it keeps the slot, and the ingress keeps what it has received.
+func TestEndlessAnswerLeavesNothingBehind(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/reads/endless", "/orders/endless"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			b := startFleet(t, fleet.Config{Nodes: 2}, 1, server.Config{Handler: func(w http.ResponseWriter, r *http.Request) {
+				for more := part(w, r); r.Context().Err() == nil; {
+					more()
+				}
+			}})
+			assert.NilError(t, b.Apply(b.ctx, []byte(testFile+wholeFile)))
+			for range slots {
+				c := dialCaller(t, b.Nodes[1].Callers)
+				_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: whole.test\r\n\r\n", path)
+				assert.NilError(t, err)
+			}
+			time.Sleep(wholeDeadline)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if held := b.Nodes[0].Node.Dump().Controller.ActiveAttempts; held > 0 {
+					return poll.Continue("%d attempts are still held", held)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(5*time.Second))
+		})
+	}
+}
--- a/internal/proxy/side/attempt.go
+++ b/internal/proxy/side/attempt.go
@@ -130,6 +130,11 @@
 // never ends its response would keep the slot.
 func (a *attempt) ingressLost() {
 	a.ingressGone.Store(true)
+	// A write may wait for the ingress to read, which it never does again. The ingress keeps what
+	// it has received until both sides of the stream are closed.
+	if err := a.conn.Stream().Close(); err != nil {
+		a.server.config.Log.Debug("closing the stream of an attempt failed", "attempt", string(a.id), "error", err)
+	}
 	a.server.Do(func(_ eval.Context, d *admit.Controller) admit.Ops {
 		d.Cancel(a.id)
 		return admit.Ops{}
