review: case 7, orders that run are answered as not run

Cause: front.exchange.abandon decides on the plan before the attempt that has just ended is counted. Where an earlier attempt reached no sidecar, an order that a backend server is running is answered 503 when its caller closes the sending side of its connection. Added: review/7 and its part of review/_stand2.

--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -12,6 +12,7 @@
 // cases are the scripted cases by the number of their folder.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"first-tenants": firstTenants,
+	"last-requests": lastRequests,
 }
 
 func main() {
