review: case 8, answers that come before the request's body are cut

Cause: replayableBody.settle sets a read deadline before the response begins. net/http takes its passing for the end of the connection and cancels the request's context, and with it the stream that carries the rest of the response.

--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"first-tenants": firstTenants,
 	"last-requests": lastRequests,
+	"early-answers": earlyAnswers,
 }
 
 func main() {
