review: case 9, tokens of running requests are given back

Cause: front.exchange.abandon decides on the plan before the attempt that has just ended is counted. Where an earlier attempt was refused, a request that a backend server is running counts as not run when its caller leaves, and its organisation's token is returned and granted again. Added: review/9 and its part of review/_stand2.

--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -11,9 +11,10 @@
 
 // cases are the scripted cases by the number of their folder.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
-	"first-tenants": firstTenants,
-	"last-requests": lastRequests,
-	"early-answers": earlyAnswers,
+	"first-tenants":   firstTenants,
+	"leaving-clients": leavingClients,
+	"last-requests":   lastRequests,
+	"early-answers":   earlyAnswers,
 }
 
 func main() {
