review: case 10, API keys are passed on by nodes without organisations

Cause: front.isWithheld holds the API key back only if the node's present configuration has organisations. A node that does not have the first such configuration yet passes the callers' keys on to backend servers.

--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"first-tenants":   firstTenants,
 	"leaving-clients": leavingClients,
+	"key-passed-on":   keyPassedOn,
 	"last-requests":   lastRequests,
 	"early-answers":   earlyAnswers,
 }
