--- a/review/_stand2/refused.go
+++ b/review/_stand2/refused.go
@@ -26,8 +26,13 @@
 		rule("r-2878wnb", "non_idempotent", writePrefix, orders, false, 800*time.Millisecond, 2500*time.Millisecond, 1, 2),
 	}}
 	machines := []machine{
-		{"eg-north-a", orders, 5}, {"eg-north-b", orders, 5}, {"eg-north-a", orders, 5}, {"eg-north-b", orders, 5}, {"eg-north-a", orders, 5},
-		{"eg-north-c", reports, 5}, {"eg-north-c", reports, 5},
+		{"eg-north-a", orders, 5},
+		{"eg-north-b", orders, 5},
+		{"eg-north-a", orders, 5},
+		{"eg-north-b", orders, 5},
+		{"eg-north-a", orders, 5},
+		{"eg-north-c", reports, 5},
+		{"eg-north-c", reports, 5},
 	}
 	work := func(int) time.Duration { return time.Duration(200+rand.IntN(180)) * time.Millisecond }
 	f, err := newFleet(rec, machines, nil, work, c.text())
--- a/review/_stand2/tenants.go
+++ b/review/_stand2/tenants.go
@@ -23,8 +23,12 @@
 // sixMachines is a small deployment of one service in three zones.
 func sixMachines(service string) []machine {
 	return []machine{
-		{"lisboa-a", service, 5}, {"lisboa-b", service, 5}, {"lisboa-c", service, 5},
-		{"lisboa-a", service, 5}, {"lisboa-b", service, 5}, {"lisboa-c", service, 5},
+		{"lisboa-a", service, 5},
+		{"lisboa-b", service, 5},
+		{"lisboa-c", service, 5},
+		{"lisboa-a", service, 5},
+		{"lisboa-b", service, 5},
+		{"lisboa-c", service, 5},
 	}
 }
 
