review: case 8 with short answers in two chunks

Cause: the case's answers of 100 KB were longer than those of any site; the fault shows with 2,400 bytes where they come in parts.

--- a/review/_stand2/early.go
+++ b/review/_stand2/early.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,8 +17,9 @@
 	uploadPieces = 6
 	pieceBytes   = 10 << 10
 	piecePause   = 150 * time.Millisecond
-	// answerBytes is the length of each answer to an upload.
-	answerBytes = 100 << 10
+	// Each answer to an upload comes in two chunks.
+	chunkBytes = 1200
+	chunkPause = 150 * time.Millisecond
 	// earlyWorkers of six answer earlyShare of the uploads before these are in, while the disruption lasts.
 	earlyWorkers = 4
 	earlyShare   = 0.4
@@ -48,8 +48,10 @@
 		defer conn.Close()
 		id := r.Header.Get("Figwick-Attempt-Id")
 		w.onRun(run{id: id, worker: w.id, path: r.URL.Path + " early", at: time.Now()})
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nFigwick-Attempt-Id: %s\r\nFigwick-Stamp: stand\r\nContent-Length: %d\r\n\r\n%s",
-			id, answerBytes, strings.Repeat("a", answerBytes))
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("a", chunkBytes))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nFigwick-Attempt-Id: %s\r\nFigwick-Stamp: stand\r\nTransfer-Encoding: chunked\r\n\r\n%s", id, chunk)
+		time.Sleep(chunkPause)
+		_, _ = io.WriteString(conn, chunk+"0\r\n\r\n")
 		// The worker reads on until the body is in or the node closes the connection.
 		_, _ = io.CopyN(io.Discard, buffered, r.ContentLength)
 		return true
@@ -112,11 +114,13 @@
 	return exitHeld, nil
 }
 
-// writeAnswer writes the answer to an upload, with its length.
+// writeAnswer writes the answer to an upload that is in.
 func writeAnswer(out http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Figwick-Attempt-Id")
-	out.Header().Set("Figwick-Attempt-Id", id)
+	out.Header().Set("Figwick-Attempt-Id", r.Header.Get("Figwick-Attempt-Id"))
 	out.Header().Set("Figwick-Stamp", "stand")
-	out.Header().Set("Content-Length", strconv.Itoa(answerBytes))
-	_, _ = io.WriteString(out, strings.Repeat("a", answerBytes))
+	chunk := strings.Repeat("a", chunkBytes)
+	_, _ = io.WriteString(out, chunk)
+	_ = http.NewResponseController(out).Flush()
+	time.Sleep(chunkPause)
+	_, _ = io.WriteString(out, chunk)
 }
