--- a/review/_stand2/tenants.go
+++ b/review/_stand2/tenants.go
@@ -111,6 +111,10 @@
 // lostWindow is config_apply and one second, for which LOST counts beside a configuration.
 const lostWindow = 3500 * time.Millisecond
 
+// lostTime is seven tenths of the clients' deadline. LOST does not count a request beside a configuration
+// that has used so much.
+const lostTime = 7 * 4 * time.Second / 10
+
 // cutRequests counts the requests of LOST: passed on to a worker, and the connection ended without an
 // answer from the sending of a configuration until lostWindow later, at machines that cut requests
 // over three times as often then as at other times.
@@ -132,7 +136,7 @@
 			if a.ended.After(last) {
 				last = a.ended
 			}
-			if a.status != 0 || a.left || len(runs[a.id]) == 0 {
+			if a.status != 0 || a.left || len(runs[a.id]) == 0 || a.ended.Sub(a.sent) >= lostTime {
 				continue
 			}
 			if a.ended.After(from) && a.ended.Before(from.Add(lostWindow)) {
