back, sock: a reset is not the end of a response without a length

Callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got that part as a complete answer.

Cause: the kernel reports a lost connection once. If the write of the upload gets ECONNRESET, the read of the response returns io.EOF after what was received.

Changed: sock.ReportResets keeps the error of the first failed write, and a read that finds the end returns it instead of io.EOF. The read waits for a write that is in progress. EPIPE is the exception: the kernel uses it if the server had ended the stream in order before it refused the rest of the upload, so the response is whole. back.Pool wraps all its connections.

--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -16,6 +16,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
+
+	"github.com/figwick/figwick/internal/base/sock"
 )
 
 const (
@@ -114,7 +116,7 @@
 
 	// conn is a connection. One request at a time uses it.
 	conn struct {
-		net.Conn
+		sock.Conn
 		address string
 		reader  *bufio.Reader
 		writer  *bufio.Writer
@@ -277,7 +279,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(errors.Mark(err, ErrUnsent), "back: connect to %s", address)
 	}
-	c := &conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout}
+	c := &conn{Conn: sock.ReportResets(raw), address: address, idleTimeout: defaultIdleTimeout}
 	c.reader = bufio.NewReaderSize(limitedReader{c}, bufferSize)
 	c.writer = bufio.NewWriterSize(countingWriter{c}, bufferSize)
 	return c, nil
@@ -461,7 +463,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := rawConn(c.Conn)
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return true
 	}
