front: an early answer to an upload ends without its acknowledgement

Callers saw: the answer to an upload that must not repeat came without its end, or not at all, until the deadline, if the backend server had answered before it had read the upload.

Cause: the acknowledgement of a response goes over the stream of the request's body. The sidecar reads no more of it by then; with its window full the send of the body holds the stream's lock, and the acknowledgement waits for it.

Changed: an ingress acknowledges only if the body has been sent to its end.

--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -150,7 +150,7 @@
 		return a.callerGone(err)
 	}
 	if !a.x.repeatable {
-		_ = a.stream.Send(wire.KindDone, &wire.End{})
+		a.acknowledge()
 	}
 	return result{answered: true}
 }
--- a/internal/proxy/front/attempt.go
+++ b/internal/proxy/front/attempt.go
@@ -64,6 +64,8 @@
 		hasStarted bool
 		// received reports that the sidecar has sent a frame.
 		received bool
+		// bodySent reports that the whole body of the request has been sent.
+		bodySent atomic.Bool
 		// response is the backend server's response, once its header was
 		// received.
 		response *response
@@ -243,7 +245,8 @@
 			a.countSent(n)
 		}
 		if errors.Is(err, io.EOF) {
-			_ = a.stream.Send(wire.KindEnd, &wire.End{Trailers: a.x.forwardedTrailers()})
+			err = a.stream.Send(wire.KindEnd, &wire.End{Trailers: a.x.forwardedTrailers()})
+			a.bodySent.Store(err == nil)
 			return
 		}
 		if errors.Is(err, errAnswering) {
@@ -256,6 +259,14 @@
 	}
 }
 
+// acknowledge tells the sidecar that the response has arrived, unless a part of the request's body is still being
+// sent. That may wait for a sidecar that reads no more, and nothing can be sent behind it.
+func (a *attempt) acknowledge() {
+	if a.x.body.length == 0 || a.bodySent.Load() {
+		_ = a.stream.Send(wire.KindDone, &wire.End{})
+	}
+}
+
 // watch probes the path of an attempt that has not ended after ProbeAfter, to
 // detect before the deadline that the path drops messages. It also ends the
 // attempt at the deadline. The returned function stops both timers.
