figwick: an apply without an answer may have been accepted

Operators saw: exit code 6, "the node cannot be reached", or 1, for an apply whose answer was lost or cut. The node may have accepted the file.

Cause: every error of a call counted as a node that was not reached.

Changed: apply ends with exit code 5, "it is not known whether the file was accepted", unless no connection was made or the call was not permitted.

--- /dev/null
+++ b/cmd/figwick/broken_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// brokenNode returns the address of an administration API that sends the given bytes to each call, and
+// then closes the connection in order or resets it.
+func brokenNode(t *testing.T, sent string, reset bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(c)
+			if r, err := http.ReadRequest(reader); err == nil && !reset {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			_, _ = io.WriteString(c, sent)
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// run runs the command line and returns what it prints and its exit code.
+func run(t *testing.T, stdin string, args ...string) (string, int) {
+	t.Helper()
+	var out strings.Builder
+	c := command()
+	c.Reader, c.Writer = strings.NewReader(stdin), &out
+	err := c.Run(t.Context(), append([]string{"figwick"}, args...))
+	return out.String(), exitCode(err)
+}
+
+// TestLostReplyLeavesApplyOpen guards against an apply that seems not to have been made, although the node may
+// have accepted the file before its answer was lost or cut.
+func TestLostReplyLeavesApplyOpen(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, sent := range []string{
+		"", head, head + "Content-Length: 100\r\n\r\n{}", head + "\r\n" + `{"state": "acc`, "no answer",
+	} {
+		for _, reset := range []bool{false, true} {
+			out, code := run(t, "version: 1\n", "apply", "--admin", brokenNode(t, sent, reset), "-")
+			assert.Check(t, code == codeUnresolved, "%q, reset=%t: exit code %d", sent, reset, code)
+			assert.Check(t, out == "", "%q, reset=%t: prints %q", sent, reset, out)
+		}
+	}
+}
--- a/cmd/figwick/client.go
+++ b/cmd/figwick/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -142,14 +143,28 @@
 			}
 			path := fmt.Sprintf("/v1/config?by=%s&expect=%d", strings.ReplaceAll(by, " ", "-"), expect)
 			status, answer, err := c.call(ctx, http.MethodPost, path, file)
+			if err == nil && !json.Valid(answer) {
+				err = errors.Newf("the node answered with status %d", status)
+			}
 			if err != nil {
-				return err
+				return asUnresolved(err)
 			}
 			return c.printApplied(k.Root().Writer, status, answer)
 		},
 	}
 }
 
+// asUnresolved returns the error of an apply without an answer, upon which the file may be in force. It is not if
+// the node was not reached or did not permit the call.
+func asUnresolved(err error) error {
+	var call *codedError
+	var network *net.OpError
+	if errors.As(err, &call) && call.code == codeUsage || errors.As(err, &network) && network.Op == "dial" {
+		return err
+	}
+	return coded(codeUnresolved, errors.Wrap(err, "not known whether it was accepted"))
+}
+
 func (c *client) printApplied(out io.Writer, status int, answer []byte) error {
 	if c.output == "json" {
 		_, _ = out.Write(answer)
