figwick, heads: a reply with status 000 is no success

Operators saw: figwick took a reply with status 000, 099, 101 or, for some commands, 600 for a success, and apply printed "accepted as revision 7" of such a reply.

Cause: net/http's client takes any three digits for a status, and the command line took what is below 400 for a success or read only the body.

Changed: package heads has the check that front used for answers of other nodes, 200 to 599. The command line makes it before it reads a body, prints nothing of such a reply and ends with exit code 1; apply ends with 5.

--- a/cmd/figwick/broken_test.go
+++ b/cmd/figwick/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -48,6 +49,34 @@
 	return out.String(), exitCode(err)
 }
 
+// TestInvalidStatusIsNoReply guards against a reply without a meaning, such as one with status 000, that the
+// command line takes for a success. A file that was sent may have been accepted.
+func TestInvalidStatusIsNoReply(t *testing.T) {
+	const accepted = `{"state": "accepted", "revision": 7}`
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		node := brokenNode(t, fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", status, len(accepted), accepted), false)
+		for _, c := range []struct {
+			command string
+			code    int
+		}{
+			{"get", codeFailed},
+			{"dump", codeFailed},
+			{"drain", codeFailed},
+			{"status", codeFailed},
+			{"diff", codeFailed},
+			{"apply", codeUnresolved},
+		} {
+			args := []string{c.command, "--admin", node}
+			if c.command == "diff" || c.command == "apply" {
+				args = append(args, "-")
+			}
+			out, code := run(t, "version: 1\n", args...)
+			assert.Check(t, code == c.code, "%s, status %s: exit code %d", c.command, status, code)
+			assert.Check(t, out == "", "%s, status %s: prints %q", c.command, status, out)
+		}
+	}
+}
+
 // TestLostReplyLeavesApplyOpen guards against an apply that seems not to have been made, although the node may
 // have accepted the file before its answer was lost or cut.
 func TestLostReplyLeavesApplyOpen(t *testing.T) {
--- a/cmd/figwick/client.go
+++ b/cmd/figwick/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/figwick/figwick/internal/base/heads"
 	"github.com/figwick/figwick/internal/proxy/admin"
 	"github.com/figwick/figwick/internal/proxy/node"
 	"github.com/figwick/figwick/internal/state/accept"
@@ -67,6 +68,9 @@
 		return 0, nil, coded(codeUnreachable, err)
 	}
 	defer response.Body.Close()
+	if err := heads.Check(response); err != nil {
+		return 0, nil, coded(codeFailed, errors.Wrap(err, "the node's answer"))
+	}
 	answer, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer))
 	if err != nil {
 		return 0, nil, coded(codeUnreachable, err)
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/figwick/figwick/internal/base/eval"
 	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/heads"
 	"github.com/figwick/figwick/internal/peer/link"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/retry"
@@ -21,8 +22,6 @@
 	// callerWriteTimeout bounds one write to the caller. A part of a response that must be whole by
 	// its deadline has until then only.
 	callerWriteTimeout = time.Minute
-	// maxStatus is the highest status of HTTP.
-	maxStatus = 599
 )
 
 // errStream marks a stream that ended before the response did.
@@ -102,7 +101,7 @@
 // beginResponse handles the head of a response.
 func (a *attempt) beginResponse(f wire.Frame) (result, bool) {
 	head, err := wire.Decode[wire.ResponseHead](f, wire.KindResponseHead)
-	if err != nil || a.response != nil || !isFinal(head.Status) {
+	if err != nil || a.response != nil || !heads.IsFinal(int(head.Status)) {
 		return a.streamFailed(wire.ErrFrame), true
 	}
 	if !a.x.race.win(a) {
@@ -116,12 +115,6 @@
 	return result{}, false
 }
 
-// isFinal reports whether a status ends an exchange. net/http panics at a status below 100, and takes
-// one below 200 for the start of a response.
-func isFinal(status int32) bool {
-	return status >= http.StatusOK && status <= maxStatus
-}
-
 // markStarted notes that a backend server is receiving the request.
 func (a *attempt) markStarted() {
 	if !a.hasStarted {
--- a/internal/proxy/front/fence.go
+++ b/internal/proxy/front/fence.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/figwick/figwick/internal/base/events"
+	"github.com/figwick/figwick/internal/base/heads"
 	"github.com/figwick/figwick/internal/peer/link"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/retry"
@@ -53,7 +54,7 @@
 			lost.outcome = retry.Unreached
 			return lost
 		case wire.Fate_FATE_ANSWERED:
-			if !isFinal(reply.Head.GetStatus()) {
+			if !heads.IsFinal(int(reply.Head.GetStatus())) {
 				return lost
 			}
 			return a.deliverRecovered(reply)
