--- a/internal/state/store/http.go
+++ b/internal/state/store/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/figwick/figwick/internal/base/heads"
 )
 
 const (
@@ -188,6 +190,9 @@
 		return 0, errors.Wrapf(errors.Mark(err, ErrUnavailable), "store: send request %s %s", method, path)
 	}
 	defer response.Body.Close()
+	if err := heads.Check(response); err != nil {
+		return 0, errors.Wrapf(errors.Mark(err, ErrUnavailable), "store: send request %s %s", method, path)
+	}
 	era, err := ParseEra(response.Header.Get(EraHeader))
 	if err != nil {
 		return 0, errors.Mark(err, ErrUnavailable)
