keys: a record with status 0 is no answer

Cause: the record of an idempotency key was used as an answer if it could be decoded, whatever its status.

Changed: a record whose answer has no final status cannot be used. The caller gets 502, as with one that cannot be decoded.

--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/figwick/figwick/internal/base/eval"
+	"github.com/figwick/figwick/internal/base/heads"
 	"github.com/figwick/figwick/internal/base/ident"
 	"github.com/figwick/figwick/internal/state/store"
 )
@@ -263,6 +264,9 @@
 	if err := json.Unmarshal(item.Value, &found.record); err != nil {
 		return stored{}, errors.Wrap(err, "keys: decode")
 	}
+	if a := found.record.Answer; a != nil && !heads.IsFinal(a.Status) {
+		return stored{}, errors.Newf("keys: record has an answer of status %d", a.Status)
+	}
 	return found, nil
 }
 
--- a/internal/state/keys/keys_test.go
+++ b/internal/state/keys/keys_test.go
@@ -241,3 +241,21 @@
 		})
 	}
 }
+
+// TestInvalidRecordIsNoAnswer guards against a stored answer without a meaning that is sent to the caller.
+func TestInvalidRecordIsNoAnswer(t *testing.T) {
+	for name, answer := range map[string]keys.Answer{
+		"no status":     {Body: []byte("placed")},
+		"informational": {Status: 103},
+		"status 600":    {Status: 600},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := keys.NewRegistry(keys.Config{Store: kvs.New(clockwork.NewFakeClock()), Clock: clockwork.NewFakeClock()})
+			claim, err := r.Claim(t.Context(), key)
+			assert.NilError(t, err)
+			assert.NilError(t, r.Finish(t.Context(), claim, answer))
+			_, err = r.Claim(t.Context(), key)
+			assert.Check(t, errors.Is(err, keys.ErrUnavailable), "%v", err)
+		})
+	}
+}
