figwick: a reset is not the end of a reply without a length

Cause: as with backend servers' responses, the report of a reset goes to the write of the file that is still being sent, and the read ends with io.EOF.

Changed: the command line's connections are wrapped by sock.ReportResets.

--- a/cmd/figwick/broken_test.go
+++ b/cmd/figwick/broken_test.go
@@ -91,3 +91,14 @@
 		}
 	}
 }
+
+// TestResetReplyIsNoReply guards against a part of a reply that is printed as the whole, because the node has
+// reset the connection while the file was being sent.
+func TestResetReplyIsNoReply(t *testing.T) {
+	node := brokenNode(t, "HTTP/1.1 200 OK\r\n\r\n[{\"service\": \"a\"", true)
+	file := "version: 1\n" + strings.Repeat("# comment\n", 400_000)
+	for round := range 150 {
+		out, code := run(t, file, "diff", "--admin", node, "--output", "json", "-")
+		assert.Assert(t, code != codeDone, "round %d: prints %q", round, out)
+	}
+}
--- a/cmd/figwick/client.go
+++ b/cmd/figwick/client.go
@@ -17,6 +17,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/figwick/figwick/internal/base/heads"
+	"github.com/figwick/figwick/internal/base/sock"
 	"github.com/figwick/figwick/internal/proxy/admin"
 	"github.com/figwick/figwick/internal/proxy/node"
 	"github.com/figwick/figwick/internal/state/accept"
@@ -29,6 +30,9 @@
 	mostAnswer    = 64 << 20
 )
 
+// httpClient sends the calls. A reply without a length ends with its connection, so a reset must be told from that.
+var httpClient = newHTTPClient()
+
 // client calls a node's administration API.
 type client struct {
 	address string
@@ -36,6 +40,20 @@
 	output  string
 }
 
+func newHTTPClient() *http.Client {
+	dialer := &net.Dialer{}
+	return &http.Client{Transport: &http.Transport{
+		Proxy: http.ProxyFromEnvironment,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return sock.ReportResets(c), nil
+		},
+	}}
+}
+
 func (c *client) flags(more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
 		text("admin", &c.address, "127.0.0.1:7403", "a node's admin-listen address"),
@@ -63,7 +81,7 @@
 	if c.token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.token)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpClient.Do(request)
 	if err != nil {
 		return 0, nil, coded(codeUnreachable, err)
 	}
