back, heads: a line that is no field ends the exchange

Callers saw: an answer of a backend server in whose head the name of a field held a space, as in "Content-Length : 4". They got it without that line, and with a body that was not the server's where the line was its length.

Cause: http.ReadResponse accepts names with spaces, and takes a line that begins with a space for a part of the field before.

Changed: heads.Scanner checks the lines of each head as the bytes arrive, those of informational responses too. The exchange fails at the first byte that does not fit: 502, or another attempt. Continued lines are refused, as RFC 9112 allows.

--- a/internal/proxy/back/head.go
+++ b/internal/proxy/back/head.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/figwick/figwick/internal/base/heads"
 	"github.com/figwick/figwick/internal/peer/wire"
 )
 
@@ -35,6 +36,9 @@
 	c.readable = maxHeadBytes
 	defer func() { c.readable = unlimited }()
 	for range maxInformational + 1 {
+		if err := c.beginScan(); err != nil {
+			return nil, err
+		}
 		if err := c.checkStatusLine(); err != nil {
 			return nil, err
 		}
@@ -57,6 +61,21 @@
 	return nil, errors.Wrapf(ErrInvalidResponse, "more than %d informational responses", maxInformational)
 }
 
+// beginScan lets the next head be scanned, of which a part may have been read already.
+func (c *conn) beginScan() error {
+	c.scanner = heads.Scanner{}
+	ahead, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return errors.Wrap(err, "back: read response headers")
+	}
+	return c.scan(ahead)
+}
+
+// scan checks bytes that may belong to the head that is being read.
+func (c *conn) scan(p []byte) error {
+	return errors.Mark(c.scanner.Scan(p), ErrInvalidResponse)
+}
+
 // checkStatusLine checks the start of the next status line without consuming it.
 // http.ReadResponse takes any three bytes that strconv.Atoi accepts for a status, and waits for
 // the end of a line that cannot become a status line. The check returns at the first byte that
@@ -92,7 +111,7 @@
 	}
 }
 
-// limitedReader reads from a connection, at most conn.readable bytes.
+// limitedReader reads from a connection, at most conn.readable bytes, and scans the heads.
 type limitedReader struct {
 	conn *conn
 }
@@ -102,7 +121,14 @@
 	if l.conn.readable <= 0 {
 		return 0, errHeadTooLarge
 	}
+	// net/http's reader ignores some of the errors of a Read, and reads on.
+	if err := l.conn.scan(nil); err != nil {
+		return 0, err
+	}
 	n, err := l.conn.Read(p[:min(len(p), l.conn.readable)])
 	l.conn.readable -= n
+	if err := l.conn.scan(p[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 
+	"github.com/figwick/figwick/internal/base/heads"
 	"github.com/figwick/figwick/internal/base/sock"
 )
 
@@ -126,7 +127,9 @@
 		// have arrived nevertheless.
 		writeFailed bool
 		// readable is how many more bytes may be read.
-		readable    int
+		readable int
+		// scanner checks the head that is being read. It is behind that while a body is.
+		scanner     heads.Scanner
 		idleTimeout time.Duration
 		idleSince   time.Time
 		// unidentified is whether an Unidentified response has come.
--- a/internal/proxy/node/malformed_test.go
+++ b/internal/proxy/node/malformed_test.go
@@ -1,14 +1,20 @@
 package node_test
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/figwick/figwick/internal/fake/server"
+	"github.com/figwick/figwick/internal/proxy/front"
 )
 
 // TestMalformedResponsesAreReported guards against a backend server whose malformed response
@@ -61,3 +67,34 @@
 		})
 	}
 }
+
+// TestBrokenFieldIsNoResponse guards against a caller who gets a response of which a line was lost, because its
+// backend server has sent no field in that line. The order may have run.
+func TestBrokenFieldIsNoResponse(t *testing.T) {
+	var line atomic.Value
+	b := start(t, 2, 1, server.Config{Handler: func(w http.ResponseWriter, _ *http.Request) {
+		raw, _, err := http.NewResponseController(w).Hijack()
+		if assert.Check(t, err) {
+			defer raw.Close()
+			_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nX: y\r\n%s\r\n\r\nbody", line.Load())
+			_ = raw.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, raw)
+		}
+	}})
+	for _, broken := range []string{"Content-Length : 4", "Content-Length\x01: 4", "X Y: z", " Content-Length: 4"} {
+		line.Store(broken)
+		for name, send := range uploads(t) {
+			t.Run(fmt.Sprintf("%q, %s", broken, name), func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(b.ctx, 20*time.Second)
+				defer cancel()
+				response, text, err := send(ctx, b)
+				if err != nil && ctx.Err() == nil {
+					return // The upload broke off.
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusBadGateway, "%s", text)
+				assert.Equal(t, response.Header.Get(front.OutcomeHeader), front.OutcomeUnknown)
+			})
+		}
+	}
+}
