node: test that callers of each version of HTTP see a cut response

A response of which a part had been passed on is broken off by its backend server, with a length, in chunks or without either, or by the end of the node beside it. Callers over HTTP/1.0, 1.1 and 2 must see that it is not whole.

--- a/internal/proxy/node/reset_answer_test.go
+++ b/internal/proxy/node/reset_answer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,13 +28,13 @@
 	uploadSize = 3_900_000
 )
 
-// upload sends an upload as one kind of caller and returns the response with its body. The error is that of an
+// exchange sends a request as one kind of caller and returns the response with its body. The error is that of an
 // exchange that visibly broke off.
-type upload func(ctx context.Context, b *bench) (*http.Response, []byte, error)
+type exchange func(ctx context.Context, b *bench) (*http.Response, []byte, error)
 
-// uploads are the kinds of callers, by the version of HTTP.
-func uploads(t *testing.T) map[string]upload {
-	return map[string]upload{
+// uploads are the kinds of callers that send an upload, by the version of HTTP.
+func uploads(t *testing.T) map[string]exchange {
+	return map[string]exchange{
 		"HTTP/1.0":          uploadHTTP10,
 		"HTTP/1.1, length":  uploadWith(t, false, func(r io.Reader) io.Reader { return r }),
 		"HTTP/1.1, chunked": uploadWith(t, false, func(r io.Reader) io.Reader { return struct{ io.Reader }{r} }),
@@ -41,8 +42,8 @@
 	}
 }
 
-// uploadWith returns an upload by net/http's client. The form of the body decides whether it has a length.
-func uploadWith(t *testing.T, http2 bool, form func(io.Reader) io.Reader) upload {
+// uploadWith returns the exchange of an upload by net/http's client. The form of the body decides whether it has a length.
+func uploadWith(t *testing.T, http2 bool, form func(io.Reader) io.Reader) exchange {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(!http2)
 	protocols.SetUnencryptedHTTP2(http2)
@@ -73,7 +74,11 @@
 		_, _ = fmt.Fprintf(c, "POST /orders HTTP/1.0\r\nHost: shop.test\r\nContent-Length: %d\r\n\r\n", uploadSize)
 		_, _ = c.Write(make([]byte, uploadSize))
 	}()
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return readResponse(bufio.NewReader(c))
+}
+
+func readResponse(r *bufio.Reader) (*http.Response, []byte, error) {
+	response, err := http.ReadResponse(r, nil)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -147,3 +152,85 @@
 		})
 	}
 }
+
+// getters are the kinds of callers that only read, by the version of HTTP.
+func getters(t *testing.T) map[string]exchange {
+	kinds := map[string]exchange{}
+	for name, head := range map[string]string{
+		"HTTP/1.0":             "GET /lookup HTTP/1.0\r\nHost: shop.test\r\n\r\n",
+		"HTTP/1.0, keep-alive": "GET /lookup HTTP/1.0\r\nHost: shop.test\r\nConnection: keep-alive\r\n\r\n",
+		"HTTP/1.1":             "GET /lookup HTTP/1.1\r\nHost: shop.test\r\n\r\n",
+		"HTTP/1.1, last":       "GET /lookup HTTP/1.1\r\nHost: shop.test\r\nConnection: close\r\n\r\n",
+	} {
+		kinds[name] = func(_ context.Context, b *bench) (*http.Response, []byte, error) {
+			c := dialCaller(t, b.Nodes[1].Callers)
+			defer c.Close()
+			if _, err := io.WriteString(c, head); err != nil {
+				return nil, nil, err
+			}
+			return readResponse(c.reader)
+		}
+	}
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols, DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	kinds["HTTP/2"] = func(ctx context.Context, b *bench) (*http.Response, []byte, error) {
+		response, err := transport.RoundTrip(b.request(1, http.MethodGet, "/lookup", nil).WithContext(ctx))
+		if err != nil {
+			return nil, nil, err
+		}
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		return response, text, err
+	}
+	return kinds
+}
+
+// TestCutResponseIsVisible guards against a part of a response that a caller takes for the whole, because its
+// backend server has broken it off or the node beside that server has ended. A part had been
+// passed on before.
+func TestCutResponseIsVisible(t *testing.T) {
+	const part = 300_000
+	for name, c := range map[string]struct {
+		fields string
+		cut    func(b *bench, c *net.TCPConn)
+	}{
+		"length, closed":  {fmt.Sprintf("Content-Length: %d\r\n", 2*part), func(*bench, *net.TCPConn) {}},
+		"length, reset":   {fmt.Sprintf("Content-Length: %d\r\n", 2*part), func(_ *bench, c *net.TCPConn) { _ = c.SetLinger(0) }},
+		"chunks, closed":  {"Transfer-Encoding: chunked\r\n", func(*bench, *net.TCPConn) {}},
+		"no length":       {"", func(_ *bench, c *net.TCPConn) { _ = c.SetLinger(0) }},
+		"no length, node": {"", func(b *bench, _ *net.TCPConn) { b.Nodes[0].Kill() }},
+	} {
+		for kind := range getters(t) {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				t.Parallel()
+				var b *bench
+				started := make(chan struct{})
+				b = start(t, 2, 1, server.Config{Handler: func(w http.ResponseWriter, _ *http.Request) {
+					<-started
+					raw, _, err := http.NewResponseController(w).Hijack()
+					if !assert.Check(t, err) {
+						return
+					}
+					defer raw.Close()
+					_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\n%s\r\n", c.fields)
+					if strings.HasPrefix(c.fields, "Transfer") {
+						_, _ = fmt.Fprintf(raw, "%x\r\n", part)
+					}
+					_, _ = raw.Write(make([]byte, part))
+					time.Sleep(200 * time.Millisecond)
+					c.cut(b, raw.(*net.TCPConn))
+				}})
+				close(started)
+				response, text, err := getters(t)[kind](b.ctx, b)
+				assert.Check(t, err != nil, "%d bytes are the whole", len(text))
+				assert.NilError(t, b.ctx.Err())
+				if response != nil {
+					assert.Equal(t, response.StatusCode, http.StatusOK)
+					assert.Check(t, len(text) > 0, "nothing was passed on before the cut")
+				}
+			})
+		}
+	}
+}
