back, heads: a trailer whose name holds a space is no end of a response

Callers saw: a response in chunks, with such a line behind its body, as whole without that trailer. Over HTTP/2 they did not get its end.

Cause: net/http's reader accepts names with spaces in trailers too.

Changed: at the end of a body the names of the trailers are checked. The exchange fails then, so that the caller gets 502 or sees a cut response, and the connection is closed.

--- a/internal/base/heads/heads.go
+++ b/internal/base/heads/heads.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the highest status of HTTP.
@@ -17,6 +18,17 @@
 	if !IsFinal(r.StatusCode) {
 		return errors.Wrapf(ErrBroken, "status %03d", r.StatusCode)
 	}
+	return CheckFields(r.Header)
+}
+
+// CheckFields returns an error that matches ErrBroken if the name of a field in a header or in trailers is none. A
+// trailer that was announced and not sent has no values, and is not checked.
+func CheckFields(h http.Header) error {
+	for name, values := range h {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrBroken, "field with the name %q", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/proxy/back/field_test.go
+++ b/internal/proxy/back/field_test.go
@@ -81,3 +81,30 @@
 	}
 	assert.Equal(t, informed, 3)
 }
+
+// TestBrokenTrailerIsNoEnd guards against a response in chunks that is taken for whole although a line behind its
+// body is no field.
+func TestBrokenTrailerIsNoEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\nTrailer: Sum, Never Sent\r\n\r\n4\r\nbody\r\n0\r\n"
+	for line, broken := range map[string]bool{
+		"Su m: 7": true, "Sum : 7": true, "Su\x01m: 7": true, " Sum: 7": true, "\tSum: 7": true, "Sum\x00: 7": true, "Sum": true, "Sum\r: 7": true,
+		"S(um): 7": true, "Sum: 7\x01": true, "Sum: 7": false, "sum:7": false, "!#$%&'*+-.^_`|~: 7": false, "Sum:": false, "Other: a:b": false,
+	} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			f := serve(t, func(c *serverConn) {
+				for c.readRequest() != "" {
+					_, _ = io.WriteString(c, head+line+"\r\n\r\n")
+				}
+			})
+			for range 2 {
+				text, err := f.roundTrip(t.Context(), "1", strings.NewReader("body"))
+				assert.Check(t, (err != nil) == broken, "body %q, error %v", text, err)
+			}
+			conns := int64(1)
+			if broken {
+				conns = 2
+			}
+			assert.Equal(t, f.conns.Load(), conns)
+		})
+	}
+}
--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -149,8 +149,9 @@
 	// it has been read to its end.
 	body struct {
 		io.ReadCloser
-		pool *Pool
-		conn *conn
+		response *http.Response
+		pool     *Pool
+		conn     *conn
 		// sent receives the result of writing the request.
 		sent chan error
 		// stopCancel keeps the end of the context from closing the connection. It
@@ -193,7 +194,9 @@
 		}
 		return nil, p.exchangeError(ctx, c, sent, err)
 	}
-	b := &body{ReadCloser: response.Body, pool: p, conn: c, sent: sent, stopCancel: stop, reusable: p.reusable(c, response)}
+	b := &body{
+		ReadCloser: response.Body, response: response, pool: p, conn: c, sent: sent, stopCancel: stop, reusable: p.reusable(c, response),
+	}
 	response.Body = b
 	if response.ContentLength == 0 || hasNoBody(r, response) {
 		b.finish()
@@ -411,12 +414,17 @@
 }
 
 // Read reads from the body. At the end of the body it returns the connection to the
-// pool.
+// pool, unless the trailers are invalid.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.finish()
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if broken := heads.CheckFields(b.response.Trailer); broken != nil {
+		_ = b.Close()
+		return n, errors.Wrap(errors.Mark(broken, ErrInvalidResponse), "back: read trailers")
 	}
+	b.finish()
 	return n, err
 }
 
--- a/internal/proxy/node/malformed_test.go
+++ b/internal/proxy/node/malformed_test.go
@@ -98,3 +98,30 @@
 		}
 	}
 }
+
+// TestBrokenTrailerIsVisible guards against a response that a caller takes for whole, although a line behind its body
+// is no field. The backend server has sent it at once, or a part that is passed on before.
+func TestBrokenTrailerIsVisible(t *testing.T) {
+	for _, size := range []int{4, 200_000} {
+		b := start(t, 2, 1, server.Config{Handler: func(w http.ResponseWriter, _ *http.Request) {
+			raw, _, err := http.NewResponseController(w).Hijack()
+			if assert.Check(t, err) {
+				defer raw.Close()
+				_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", size, strings.Repeat("x", size))
+				_, _ = io.WriteString(raw, "0\r\nSum : 7\r\n\r\n")
+				_, _ = raw.Read(make([]byte, 1))
+			}
+		}})
+		for name, get := range getters(t) {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, size), func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(b.ctx, 20*time.Second)
+				defer cancel()
+				response, text, err := get(ctx, b)
+				assert.NilError(t, ctx.Err())
+				if err == nil {
+					assert.Equal(t, response.StatusCode, http.StatusBadGateway, "%d bytes are the whole", len(text))
+				}
+			})
+		}
+	}
+}
