front, wire: a response of another node with a broken name is none

Cause: an ingress checks the status of what another node sends, but not the names of fields. A node of an earlier version passes on names with a space, as do all while a fleet is updated. net/http drops such lines when it sends; with HTTP/2 it does not end a response whose only trailers are such.

Changed: heads, trailers and the answers that a fence retrieves count as frames that violate the protocol, and the request as lost: 502, or a cut response. An informational response with such a name is dropped.

--- a/internal/peer/wire/header.go
+++ b/internal/peer/wire/header.go
@@ -5,6 +5,8 @@
 	"net/textproto"
 	"slices"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // hopByHop are the headers that apply to a single connection and are not forwarded.
@@ -53,6 +55,12 @@
 	return h
 }
 
+// ValidNames reports whether the names of all header messages are names of header fields. A peer of an earlier
+// version passes on others.
+func ValidNames(list []*Header) bool {
+	return !slices.ContainsFunc(list, func(h *Header) bool { return !httpguts.ValidHeaderFieldName(h.Name) })
+}
+
 // connectionHeaders returns the canonical names that the Connection header lists.
 func connectionHeaders(h http.Header) []string {
 	var names []string
--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -88,7 +88,7 @@
 		}
 	case wire.KindEnd:
 		end, err := wire.Decode[wire.End](f, wire.KindEnd)
-		if err != nil || a.response == nil {
+		if err != nil || a.response == nil || !wire.ValidNames(end.Trailers) {
 			return a.streamFailed(wire.ErrFrame), true
 		}
 		return a.complete(end), true
@@ -101,7 +101,7 @@
 // beginResponse handles the head of a response.
 func (a *attempt) beginResponse(f wire.Frame) (result, bool) {
 	head, err := wire.Decode[wire.ResponseHead](f, wire.KindResponseHead)
-	if err != nil || a.response != nil || !heads.IsFinal(int(head.Status)) {
+	if err != nil || a.response != nil || !isSound(head) {
 		return a.streamFailed(wire.ErrFrame), true
 	}
 	if !a.x.race.win(a) {
@@ -115,6 +115,11 @@
 	return result{}, false
 }
 
+// isSound reports whether the head of a response from another node can be passed on.
+func isSound(head *wire.ResponseHead) bool {
+	return heads.IsFinal(int(head.GetStatus())) && wire.ValidNames(head.GetHeaders())
+}
+
 // markStarted notes that a backend server is receiving the request.
 func (a *attempt) markStarted() {
 	if !a.hasStarted {
@@ -232,7 +237,10 @@
 // attempts are running.
 func (a *attempt) forwardInformational(f wire.Frame) {
 	informational, err := wire.Decode[wire.Informational](f, wire.KindInformational)
-	if err != nil || informational.Status < 102 || informational.Status > 199 || !a.x.race.alone() {
+	if err != nil || informational.Status < 102 || informational.Status > 199 || !wire.ValidNames(informational.Headers) {
+		return
+	}
+	if !a.x.race.alone() {
 		return
 	}
 	h := a.x.writer.Header()
--- a/internal/proxy/front/fence.go
+++ b/internal/proxy/front/fence.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/figwick/figwick/internal/base/events"
-	"github.com/figwick/figwick/internal/base/heads"
 	"github.com/figwick/figwick/internal/peer/link"
 	"github.com/figwick/figwick/internal/peer/wire"
 	"github.com/figwick/figwick/internal/policy/retry"
@@ -54,7 +53,7 @@
 			lost.outcome = retry.Unreached
 			return lost
 		case wire.Fate_FATE_ANSWERED:
-			if !heads.IsFinal(int(reply.Head.GetStatus())) {
+			if !isSound(reply.Head) || !wire.ValidNames(reply.Trailers) {
 				return lost
 			}
 			return a.deliverRecovered(reply)
