front: callers of HTTP/1.0 get no informational responses

Callers saw: HTTP/1.0 103, which they take for the answer, if a backend server sends early hints.

Cause: informational responses were passed on whatever the version of the request, which RFC 9110 (15.2) forbids for HTTP/1.0.

Changed: they are dropped for such callers.

--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -234,13 +234,13 @@
 }
 
 // forwardInformational passes a 1xx response on to the caller, unless several
-// attempts are running.
+// attempts are running or the caller's version has none: HTTP/1.0 would take it for the response.
 func (a *attempt) forwardInformational(f wire.Frame) {
 	informational, err := wire.Decode[wire.Informational](f, wire.KindInformational)
 	if err != nil || informational.Status < 102 || informational.Status > 199 || !wire.ValidNames(informational.Headers) {
 		return
 	}
-	if !a.x.race.alone() {
+	if !a.x.race.alone() || !a.x.request.ProtoAtLeast(1, 1) {
 		return
 	}
 	h := a.x.writer.Header()
--- a/internal/proxy/node/reset_answer_test.go
+++ b/internal/proxy/node/reset_answer_test.go
@@ -234,3 +234,18 @@
 		}
 	}
 }
+
+// TestInformationalResponsesByVersion guards against a caller of HTTP/1.0 who takes an informational response, which its
+// version does not have, for the response.
+func TestInformationalResponsesByVersion(t *testing.T) {
+	b := start(t, 2, 1, server.Config{Handler: odd})
+	for _, version := range []string{"1.0", "1.1"} {
+		c := dialCaller(t, b.Nodes[1].Callers)
+		_, err := fmt.Fprintf(c, "GET /hints HTTP/%s\r\nHost: shop.test\r\n\r\n", version)
+		assert.NilError(t, err)
+		response, _, err := readResponse(c.reader)
+		assert.NilError(t, err)
+		want := map[string]int{"1.0": http.StatusOK, "1.1": http.StatusEarlyHints}[version]
+		assert.Check(t, response.StatusCode == want, "HTTP/%s: status %d", version, response.StatusCode)
+	}
+}
