--- a/cmd/figwick/broken_test.go
+++ b/cmd/figwick/broken_test.go
@@ -12,6 +12,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// accepted is the reply to a file that was accepted.
+const accepted = `{"state": "accepted", "revision": 7}`
+
 // brokenNode returns the address of an administration API that sends the given bytes to each call, and
 // then closes the connection in order or resets it.
 func brokenNode(t *testing.T, sent string, reset bool) string {
@@ -52,28 +55,36 @@
 // TestInvalidStatusIsNoReply guards against a reply without a meaning, such as one with status 000, that the
 // command line takes for a success. A file that was sent may have been accepted.
 func TestInvalidStatusIsNoReply(t *testing.T) {
-	const accepted = `{"state": "accepted", "revision": 7}`
 	for _, status := range []string{"000", "099", "101", "600", "999"} {
-		node := brokenNode(t, fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", status, len(accepted), accepted), false)
-		for _, c := range []struct {
-			command string
-			code    int
-		}{
-			{"get", codeFailed},
-			{"dump", codeFailed},
-			{"drain", codeFailed},
-			{"status", codeFailed},
-			{"diff", codeFailed},
-			{"apply", codeUnresolved},
-		} {
-			args := []string{c.command, "--admin", node}
-			if c.command == "diff" || c.command == "apply" {
-				args = append(args, "-")
-			}
-			out, code := run(t, "version: 1\n", args...)
-			assert.Check(t, code == c.code, "%s, status %s: exit code %d", c.command, status, code)
-			assert.Check(t, out == "", "%s, status %s: prints %q", c.command, status, out)
+		checkBroken(t, fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", status, len(accepted), accepted), codeFailed)
+	}
+}
+
+// TestBrokenFieldIsNoReply guards against a reply that the command line takes for a success, although a line of its head
+// is no field.
+func TestBrokenFieldIsNoReply(t *testing.T) {
+	for line, code := range map[string]int{
+		"X Y: z": codeFailed, fmt.Sprintf("Content-Length : %d", len(accepted)): codeFailed, "X\x01: z": codeUnreachable,
+	} {
+		checkBroken(t, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", line, accepted), code)
+	}
+}
+
+// checkBroken checks that no command takes what a node sends for a reply. An apply must end as unresolved, the other
+// commands with the given exit code.
+func checkBroken(t *testing.T, sent string, code int) {
+	t.Helper()
+	node := brokenNode(t, sent, false)
+	for command, want := range map[string]int{
+		"get": code, "dump": code, "drain": code, "status": code, "diff": code, "apply": codeUnresolved,
+	} {
+		args := []string{command, "--admin", node}
+		if command == "diff" || command == "apply" {
+			args = append(args, "-")
 		}
+		out, got := run(t, "version: 1\n", args...)
+		assert.Check(t, got == want, "%q, %s: exit code %d", sent, command, got)
+		assert.Check(t, out == "", "%q, %s: prints %q", sent, command, out)
 	}
 }
 
