keys: a record with a broken name of a field is no answer

Cause: the record of an idempotency key may hold the answer that a node of an earlier version took for one, with a name that is none and a body of another length.

Changed: such a record cannot be used, as one with an invalid status.

--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -264,12 +264,20 @@
 	if err := json.Unmarshal(item.Value, &found.record); err != nil {
 		return stored{}, errors.Wrap(err, "keys: decode")
 	}
-	if a := found.record.Answer; a != nil && !heads.IsFinal(a.Status) {
-		return stored{}, errors.Newf("keys: record has an answer of status %d", a.Status)
+	if a := found.record.Answer; a != nil {
+		return found, a.check()
 	}
 	return found, nil
 }
 
+// check returns an error if the answer cannot be sent. A node of an earlier version may have recorded it.
+func (a *Answer) check() error {
+	if !heads.IsFinal(a.Status) {
+		return errors.Newf("keys: record has an answer of status %d", a.Status)
+	}
+	return errors.Wrap(heads.CheckFields(a.Headers), "keys: record")
+}
+
 // currentLease returns the lease for new records and takes one if there is none
 // or it is older than leaseInterval. A lease lasts Window plus leaseInterval, so
 // that the last record under it still stays for Window.
--- a/internal/state/keys/keys_test.go
+++ b/internal/state/keys/keys_test.go
@@ -248,6 +248,7 @@
 		"no status":     {Body: []byte("placed")},
 		"informational": {Status: 103},
 		"status 600":    {Status: 600},
+		"broken name":   {Status: 200, Headers: map[string][]string{"Content-Length ": {"6"}}, Body: []byte("placed")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := keys.NewRegistry(keys.Config{Store: kvs.New(clockwork.NewFakeClock()), Clock: clockwork.NewFakeClock()})
