front: a refusal behind the head of a response breaks the protocol

Cause: an ingress took a refusal by another node at any moment, also when a response had begun.

Changed: such a refusal counts as a frame that violates the protocol: 502, or a cut response.

--- a/internal/proxy/front/answer.go
+++ b/internal/proxy/front/answer.go
@@ -158,6 +158,10 @@
 	if err != nil {
 		return a.streamFailed(err)
 	}
+	// A response has begun, so the request was run.
+	if a.response != nil {
+		return a.streamFailed(wire.ErrFrame)
+	}
 	a.observeClock(refusal.Load, a.x.now())
 	pause := time.Duration(refusal.PauseMs) * time.Millisecond
 	a.x.server.withService(a.x.match.Entry.Name, func(t eval.Context, svc *service) {
--- a/internal/proxy/front/peer_test.go
+++ b/internal/proxy/front/peer_test.go
@@ -92,6 +92,7 @@
 			Fate: wire.Fate_FATE_ANSWERED, Head: &wire.ResponseHead{Status: status, Headers: field(name)}, Body: []byte("body"), Trailers: field(trailer),
 		}
 	}
+	refusal := peerMessage{kind: wire.KindRefusal, message: &wire.Refusal{Reason: wire.Reason_REASON_BUSY}}
 	running := &wire.FenceReply{Fate: wire.Fate_FATE_STARTED}
 	for _, c := range []peerCase{
 		{"status 0", []peerMessage{head(0, "X"), body(4), end()}, running, false},
@@ -102,6 +103,8 @@
 		{"no name", []peerMessage{head(200, ""), body(4), end()}, running, false},
 		{"space in a trailer's name", []peerMessage{head(200, "X"), body(4), end(field("X Y")...)}, running, false},
 		{"space in a trailer's name, passed", []peerMessage{head(200, "X"), body(passedBytes), end(field("X Y")...)}, running, true},
+		{"refusal behind a head", []peerMessage{head(200, "X"), body(4), refusal}, running, false},
+		{"refusal behind a part", []peerMessage{head(200, "X"), body(passedBytes), refusal}, running, true},
 		{"fate with status 0", nil, fate(0, "X", "Y"), false},
 		{"fate with a space in a name", nil, fate(200, "X ", "Y"), false},
 		{"fate with a space in a trailer's name", nil, fate(200, "X", " Y"), false},
