flaky: connections dialed before their address is known stall too

Cause: a connection kept the node that was registered for its address when it was dialed. Nodes dial each other as soon as the fleet starts, before the test registers their addresses; such a connection never stalled.

Changed: the node is looked up when the stall is. The test itself is unchanged.

--- a/internal/fake/flaky/flaky.go
+++ b/internal/fake/flaky/flaky.go
@@ -32,6 +32,13 @@
 		from, to ident.Node
 	}
 
+	// path is one direction of a connection that a node has dialed.
+	path struct {
+		from     ident.Node
+		address  string
+		incoming bool
+	}
+
 	// dialer opens connections on behalf of one node.
 	dialer struct {
 		network *Network
@@ -43,7 +50,7 @@
 	conn struct {
 		net.Conn
 		network            *Network
-		outgoing, incoming direction
+		outgoing, incoming path
 		mutex              sync.Mutex
 		queueChanged       *sync.Cond
 		queue              [][]byte
@@ -59,7 +66,8 @@
 }
 
 // RegisterAddress records which node listens at an address, in the form that is
-// passed to DialContext. Connections to unregistered addresses never stall.
+// passed to DialContext. Connections to unregistered addresses do not stall, open ones from the
+// time at which it is recorded.
 func (n *Network) RegisterAddress(address string, node ident.Node) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -91,8 +99,9 @@
 // called, it blocks until ctx is done and returns ctx.Err(), even if the stall
 // ends earlier.
 func (d *dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	to := d.network.nodeAt(address)
-	c := &conn{network: d.network, outgoing: direction{d.from, to}, incoming: direction{to, d.from}}
+	c := &conn{
+		network: d.network, outgoing: path{from: d.from, address: address}, incoming: path{from: d.from, address: address, incoming: true},
+	}
 	if d.network.isStalled(c.outgoing) || d.network.isStalled(c.incoming) {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -107,24 +116,27 @@
 	return c, nil
 }
 
-func (n *Network) nodeAt(address string) ident.Node {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.nodesByAddress[address]
+// isStalledLocked reports whether a path is stalled. The mutex must be held.
+func (n *Network) isStalledLocked(p path) bool {
+	d := direction{from: p.from, to: n.nodesByAddress[p.address]}
+	if p.incoming {
+		d.from, d.to = d.to, d.from
+	}
+	return n.stalled[d]
 }
 
-func (n *Network) isStalled(d direction) bool {
+func (n *Network) isStalled(p path) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.stalled[d]
+	return n.isStalledLocked(p)
 }
 
-// wait blocks until the direction is not stalled or canceled returns true. It calls
+// wait blocks until the path is not stalled or canceled returns true. It calls
 // canceled with the network's mutex held; wakeWaiters makes it check again.
-func (n *Network) wait(d direction, canceled func() bool) {
+func (n *Network) wait(p path, canceled func() bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	for n.stalled[d] && !canceled() {
+	for n.isStalledLocked(p) && !canceled() {
 		n.changed.Wait()
 	}
 }
