--- a/cmd/figwick/broken_test.go
+++ b/cmd/figwick/broken_test.go
@@ -1,45 +1,24 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/figwick/figwick/internal/fake/server"
 )
 
 // accepted is the reply to a file that was accepted.
 const accepted = `{"state": "accepted", "revision": 7}`
 
-// brokenNode returns the address of an administration API that sends the given bytes to each call, and
-// then closes the connection in order or resets it.
+// brokenNode returns the address of an administration API that sends the given bytes to each call.
 func brokenNode(t *testing.T, sent string, reset bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := server.Bytes{Sent: sent, Reset: reset}.Start(t.Context())
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			reader := bufio.NewReader(c)
-			if r, err := http.ReadRequest(reader); err == nil && !reset {
-				_, _ = io.Copy(io.Discard, r.Body)
-			}
-			_, _ = io.WriteString(c, sent)
-			if reset {
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}
-			_ = c.Close()
-		}
-	}()
-	return l.Addr().String()
+	return address
 }
 
 // run runs the command line and returns what it prints and its exit code.
