--- a/internal/base/sock/sock.go
+++ b/internal/base/sock/sock.go
@@ -1,5 +1,5 @@
-// Package sock sets socket options that close a TCP connection whose peer no longer
-// responds.
+// Package sock tells how a TCP connection ends: it sets the options that close one whose peer no longer
+// responds, and tells a reset from the end of a stream (ReportResets).
 //
 // A path that drops packets and a peer that lost power cause no error by themselves:
 // packets merely stop arriving. Keep-alive probes detect this on an idle connection,
