--- a/cmd/figwick/client.go
+++ b/cmd/figwick/client.go
@@ -30,7 +30,7 @@
 	mostAnswer    = 64 << 20
 )
 
-// httpClient sends the calls. A reply without a length ends with its connection, so a reset must be told from that.
+// httpClient sends the calls.
 var httpClient = newHTTPClient()
 
 // client calls a node's administration API.
@@ -40,6 +40,8 @@
 	output  string
 }
 
+// newHTTPClient returns a client whose connections report resets. A reply without a length ends with its connection, and
+// a reset must not be taken for that.
 func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{}
 	return &http.Client{Transport: &http.Transport{
--- a/internal/base/heads/doc.go
+++ b/internal/base/heads/doc.go
@@ -1,4 +1,4 @@
-// Package heads checks what net/http accepts of an HTTP response although it has no meaning.
+// Package heads checks the head of an HTTP response for what net/http accepts although it has no meaning.
 //
 // net/http's reader takes any three digits for a status, and names with spaces for those of fields. A response
 // with such a status, 000 for instance, or with such a name comes from a server in trouble. Nothing in it can be
--- a/internal/proxy/back/head.go
+++ b/internal/proxy/back/head.go
@@ -61,7 +61,7 @@
 	return nil, errors.Wrapf(ErrInvalidResponse, "more than %d informational responses", maxInformational)
 }
 
-// beginScan lets the next head be scanned, of which a part may have been read already.
+// beginScan begins the scan of the next head. The reader may hold a part of it, read together with the head before.
 func (c *conn) beginScan() error {
 	c.scanner = heads.Scanner{}
 	ahead, err := c.reader.Peek(c.reader.Buffered())
--- a/internal/proxy/back/pool.go
+++ b/internal/proxy/back/pool.go
@@ -128,7 +128,7 @@
 		writeFailed bool
 		// readable is how many more bytes may be read.
 		readable int
-		// scanner checks the head that is being read. It is behind that while a body is.
+		// scanner checks the head that is being read. It ignores the body.
 		scanner     heads.Scanner
 		idleTimeout time.Duration
 		idleSince   time.Time
--- a/internal/proxy/back/reset_test.go
+++ b/internal/proxy/back/reset_test.go
@@ -67,6 +67,8 @@
 		pause time.Duration
 	}{
 		{"within the head, upload blocked", head[:20], 0, 0},
+		{"within the head, upload moving", head[:20], movingBytes, 0},
+		{"behind an informational head, upload blocked", "HTTP/1.1 103 Early Hints\r\n\r\n", 0, 0},
 		{"after the head, upload blocked", head, 0, 0},
 		{"within the body, upload blocked", head + "part", 0, 0},
 		{"within the body, upload moving", head + "part", movingBytes, 0},
